--- /dev/null
+++ b/packages/message/Ack.h
@@ -0,0 +1,21 @@
+// Answer to Ping or, through another member, to PingRequest.
+#ifndef CHERVIL_MESSAGE_ACK_H
+#define CHERVIL_MESSAGE_ACK_H
+
+#include "message/MemberUpdate.h"
+
+#include <vector>
+
+namespace chervil::message {
+
+struct Ack {
+  std::uint64_t Seq = 0;
+  /// The member that is known to live.
+  NodeId Subject;
+  std::vector<MemberUpdate> Updates;
+  std::uint64_t DocsHash = 0;
+};
+
+} // namespace chervil::message
+
+#endif
--- /dev/null
+++ b/packages/message/BackendNews.h
@@ -0,0 +1,21 @@
+// Spread within a data centre: observed speed of a back end.
+#ifndef CHERVIL_MESSAGE_BACKENDNEWS_H
+#define CHERVIL_MESSAGE_BACKENDNEWS_H
+
+#include <cstdint>
+#include <string>
+
+namespace chervil::message {
+
+struct BackendNews {
+  std::string Backend;
+  std::uint64_t Seq = 0;
+  /// Observed time per token over the normal time; 1 is normal.
+  double SlowFactor = 1;
+  /// True when the back end is known to be leaving.
+  bool Leaving = false;
+};
+
+} // namespace chervil::message
+
+#endif
--- /dev/null
+++ b/packages/message/Chunk.h
@@ -0,0 +1,18 @@
+// Owner to reader: part of the answer.
+#ifndef CHERVIL_MESSAGE_CHUNK_H
+#define CHERVIL_MESSAGE_CHUNK_H
+
+#include <cstdint>
+#include <string>
+
+namespace chervil::message {
+
+struct Chunk {
+  std::uint64_t Reader = 0;
+  std::uint64_t Offset = 0;
+  std::string Bytes;
+};
+
+} // namespace chervil::message
+
+#endif
--- /dev/null
+++ b/packages/message/CloseReply.h
@@ -0,0 +1,20 @@
+// Answer to Close: Ok if the attempt is closed, or the code that describes what is known.
+#ifndef CHERVIL_MESSAGE_CLOSEREPLY_H
+#define CHERVIL_MESSAGE_CLOSEREPLY_H
+
+#include "base/RequestKey.h"
+#include "base/ResultCode.h"
+
+#include <cstdint>
+
+namespace chervil::message {
+
+struct CloseReply {
+  RequestKey Key;
+  std::uint32_t Attempt = 1;
+  ResultCode Code = ResultCode::Ok;
+};
+
+} // namespace chervil::message
+
+#endif
--- /dev/null
+++ b/packages/message/FinishReply.h
@@ -0,0 +1,18 @@
+// Owner to executor: the end is stored, the executor may forget the request.
+#ifndef CHERVIL_MESSAGE_FINISHREPLY_H
+#define CHERVIL_MESSAGE_FINISHREPLY_H
+
+#include "base/RequestKey.h"
+
+#include <cstdint>
+
+namespace chervil::message {
+
+struct FinishReply {
+  RequestKey Key;
+  std::uint32_t Run = 0;
+};
+
+} // namespace chervil::message
+
+#endif
--- /dev/null
+++ b/packages/message/Mark.h
@@ -0,0 +1,18 @@
+// Owner to standby: store this record under the given epoch.
+#ifndef CHERVIL_MESSAGE_MARK_H
+#define CHERVIL_MESSAGE_MARK_H
+
+#include "message/RecordCopy.h"
+
+namespace chervil::message {
+
+struct Mark {
+  std::uint32_t Shard = 0;
+  std::uint64_t Epoch = 0;
+  std::uint64_t Seq = 0;
+  RecordCopy Record;
+};
+
+} // namespace chervil::message
+
+#endif
--- /dev/null
+++ b/packages/message/ShareGrant.h
@@ -0,0 +1,27 @@
+// Limit home to node: the node's share of the customers' limits.
+#ifndef CHERVIL_MESSAGE_SHAREGRANT_H
+#define CHERVIL_MESSAGE_SHAREGRANT_H
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace chervil::message {
+
+struct Share {
+  std::string Customer;
+  double RequestsPerSecond = 0;
+  double TokensPerSecond = 0;
+  std::uint32_t Streams = 0;
+  /// The share ends this long after it was received.
+  std::chrono::milliseconds Lifetime{0};
+};
+
+struct ShareGrant {
+  std::vector<Share> Shares;
+};
+
+} // namespace chervil::message
+
+#endif
--- /dev/null
+++ b/packages/message/TableChunk.h
@@ -0,0 +1,21 @@
+// Owner to new standby: part of the shard's record table, sent in order.
+#ifndef CHERVIL_MESSAGE_TABLECHUNK_H
+#define CHERVIL_MESSAGE_TABLECHUNK_H
+
+#include "message/RecordCopy.h"
+
+#include <vector>
+
+namespace chervil::message {
+
+struct TableChunk {
+  std::uint32_t Shard = 0;
+  std::uint64_t Epoch = 0;
+  std::uint32_t Index = 0;
+  bool Last = false;
+  std::vector<RecordCopy> Records;
+};
+
+} // namespace chervil::message
+
+#endif
