Add record: the request records of a shard owner and standby

Cause: an accepted request must survive its gateway, and a call that may not be repeated must run at most once. Change: pure table with grant after the standby's mark, closed attempts, lost epochs, takeover, replay, table transfer and compact marks. Measured: record_test, 13 cases pass. Conclusion: the node can be built on it.

--- a/packages/base/ResultCode.cpp
+++ b/packages/base/ResultCode.cpp
@@ -41,6 +41,7 @@
     ResultCodeInfo{ExecutorLost, "executor_lost", 409, Outcome::Unknown, false},
     ResultCodeInfo{HandedOver, "handed_over", 503, Outcome::Unknown, true},
     ResultCodeInfo{NotReady, "not_ready", 503, Outcome::NotRun, true},
+    ResultCodeInfo{AnswerExpired, "answer_expired", 410, Outcome::Ran, false},
     ResultCodeInfo{NoBackend, "no_backend", 503, Outcome::NotRun, true},
     ResultCodeInfo{BackendConnectFailed, "backend_connect_failed", 503, Outcome::NotRun, true},
     ResultCodeInfo{BackendDied, "backend_died", 502, Outcome::Unknown, true},
--- a/packages/base/ResultCode.h
+++ b/packages/base/ResultCode.h
@@ -49,6 +49,7 @@
   ExecutorLost = 308,
   HandedOver = 309,
   NotReady = 310,
+  AnswerExpired = 311,
   // 4xx: back ends.
   NoBackend = 400,
   BackendConnectFailed = 401,
--- a/packages/message/Submit.h
+++ b/packages/message/Submit.h
@@ -12,6 +12,10 @@
   std::uint64_t Epoch = 0;
   /// True if the sender already executes the request and registers it with a new owner.
   bool Executing = false;
+  /// True if the receiver is asked to hold the record although it is not the owner.
+  bool Fallback = false;
+  /// Data centre of the sender.
+  std::string DataCentre;
 };
 
 } // namespace chervil::message
--- a/packages/message/SubmitReply.h
+++ b/packages/message/SubmitReply.h
@@ -4,6 +4,7 @@
 
 #include "base/RequestKey.h"
 #include "base/ResultCode.h"
+#include "message/Copies.h"
 
 #include <cstdint>
 
@@ -25,6 +26,7 @@
   std::uint32_t Run = 0;
   /// Smallest attempt number that may run, with ResultCode::AttemptClosed.
   std::uint32_t NextAttempt = 0;
+  Copies Where = Copies::Owner;
 };
 
 } // namespace chervil::message
--- a/packages/message/TableAck.h
+++ b/packages/message/TableAck.h
@@ -1,4 +1,4 @@
-// New standby to owner: all chunks up to the last have been stored.
+// New standby to owner: a chunk has been stored.
 #ifndef CHERVIL_MESSAGE_TABLEACK_H
 #define CHERVIL_MESSAGE_TABLEACK_H
 
@@ -9,8 +9,9 @@
 struct TableAck {
   std::uint32_t Shard = 0;
   std::uint64_t Epoch = 0;
-  /// False when a chunk was missing; the owner starts again.
-  bool Complete = false;
+  std::uint32_t Index = 0;
+  /// False when the chunk could not be stored; the owner starts again later.
+  bool Stored = false;
 };
 
 } // namespace chervil::message
--- /dev/null
+++ b/packages/record/Close.cpp
@@ -0,0 +1,73 @@
+#include "record/Owner.h"
+#include "record/Replication.h"
+
+namespace chervil::record {
+
+using detail::send;
+using message::RecordState;
+
+namespace {
+
+void reply(Effects &effects, const NodeId &to, const message::Close &close, ResultCode code) {
+  send(effects, to, message::CloseReply{close.Key, close.Attempt, code});
+}
+
+/// True if the sender may close: it is the grant holder, or nothing has been granted.
+bool mayClose(const State &state, const NodeId &from, const message::Close &close,
+              const detail::Known &known) {
+  if (!known.Exists || known.State == RecordState::Closed)
+    return true;
+  if (known.State != RecordState::Running || close.Run == 0)
+    return false;
+  const auto it = state.Records.find(close.Key);
+  return it != state.Records.end() && it->second.Data.Executor == from &&
+         it->second.Data.Run == close.Run;
+}
+
+} // namespace
+
+Effects onClose(State &state, const NodeId &from, const message::Close &close, const Now &now) {
+  Effects effects;
+  if (state.Shards.empty()) {
+    reply(effects, from, close, ResultCode::NotReady);
+    return effects;
+  }
+  const std::uint32_t number = shardOf(state, close.Key);
+  const ShardView &shard = state.Shards[number];
+  const bool standby = shard.Mine == Role::Standby && shard.Ready;
+  if (shard.Mine != Role::Owner && !standby) {
+    reply(effects, from, close, ResultCode::StaleEpoch);
+    return effects;
+  }
+  const detail::Known known = detail::lookUp(state, close.Key);
+  if (!known.Exists && !mayRunAfterLoss(shard, state.Settings, close.Key.Key, now.Wall)) {
+    reply(effects, from, close, ResultCode::ShardLost);
+    return effects;
+  }
+  if (!mayClose(state, from, close, known)) {
+    reply(effects, from, close, ResultCode::OutcomeUnknown);
+    return effects;
+  }
+  if (known.Exists && known.State == RecordState::Closed && known.Attempt >= close.Attempt) {
+    reply(effects, from, close, ResultCode::Ok);
+    return effects;
+  }
+  Record &record = detail::obtain(state, close.Key, now);
+  detail::noteEnded(state, record, RecordState::Closed);
+  record.Data.Attempt = close.Attempt;
+  record.Data.BodyHash = close.BodyHash;
+  record.Data.Spec.Repeatable = false;
+  detail::endReaders(record, ResultCode::AttemptClosed, effects);
+  if (standby || !detail::needsAck(shard)) {
+    detail::replicate(state, record, effects);
+    reply(effects, from, close, ResultCode::Ok);
+    return effects;
+  }
+  const std::uint64_t seq = detail::replicate(state, record, effects);
+  detail::await(state, seq,
+                {Pending::Kind::Close, close.Key, number, from, close.Attempt, close.Run, 0, {}},
+                now);
+  return effects;
+}
+
+} // namespace chervil::record
--- /dev/null
+++ b/packages/record/MarkTable.cpp
@@ -0,0 +1,50 @@
+#include "record/MarkTable.h"
+
+namespace chervil::record {
+namespace {
+
+constexpr std::uint64_t CheckSeed = 0x9e3779b97f4a7c15ULL;
+// Keeps one tick short while many marks of a burst expire together.
+constexpr int MaxExpiredPerCall = 5000;
+
+} // namespace
+
+std::uint64_t checkOf(const RequestKey &key) {
+  return hashBytes(key.Key, hashBytes(key.Customer, CheckSeed));
+}
+
+void addMark(MarkTable &table, std::uint64_t keyHash, const Mark &mark) {
+  table.Entries[keyHash] = mark;
+  table.Order.emplace_back(mark.Changed, keyHash);
+}
+
+const Mark *findMark(const MarkTable &table, const RequestKey &key) {
+  const auto it = table.Entries.find(hashOf(key));
+  if (it == table.Entries.end() || it->second.KeyCheck != checkOf(key))
+    return nullptr;
+  return &it->second;
+}
+
+void eraseMark(MarkTable &table, const RequestKey &key) {
+  const auto it = table.Entries.find(hashOf(key));
+  if (it != table.Entries.end() && it->second.KeyCheck == checkOf(key))
+    table.Entries.erase(it);
+}
+
+void expireMarks(MarkTable &table, TimePoint limit) {
+  for (int i = 0; i < MaxExpiredPerCall && !table.Order.empty(); ++i) {
+    const auto [changed, hash] = table.Order.front();
+    if (changed >= limit)
+      return;
+    table.Order.pop_front();
+    const auto it = table.Entries.find(hash);
+    if (it != table.Entries.end() && it->second.Changed < limit)
+      table.Entries.erase(it);
+  }
+}
+
+void eraseShard(MarkTable &table, std::uint32_t shard) {
+  std::erase_if(table.Entries, [&](const auto &it) { return it.second.Shard == shard; });
+}
+
+} // namespace chervil::record
--- /dev/null
+++ b/packages/record/Owner.cpp
@@ -0,0 +1,407 @@
+#include "record/Owner.h"
+
+#include "base/Uuid.h"
+#include "record/Replication.h"
+
+#include <utility>
+
+namespace chervil::record {
+
+using detail::send;
+using message::RecordState;
+using message::SubmitReply;
+using message::Verdict;
+
+namespace {
+
+void refuse(Effects &effects, const NodeId &to, const message::RecordCopy &record, ResultCode code,
+            std::uint32_t nextAttempt = 0) {
+  SubmitReply reply;
+  reply.Key = record.Key;
+  reply.Attempt = record.Attempt;
+  reply.Decision = Verdict::Refused;
+  reply.Code = code;
+  reply.NextAttempt = nextAttempt;
+  send(effects, to, reply);
+}
+
+void attach(Effects &effects, const NodeId &to, const Record &record) {
+  SubmitReply reply;
+  reply.Key = record.Data.Key;
+  reply.Attempt = record.Data.Attempt;
+  reply.Decision = Verdict::Attached;
+  reply.Run = record.Data.Run;
+  send(effects, to, reply);
+}
+
+void grant(Effects &effects, Record &record, message::Copies where) {
+  record.Granted = true;
+  SubmitReply reply;
+  reply.Key = record.Data.Key;
+  reply.Attempt = record.Data.Attempt;
+  reply.Decision = Verdict::Granted;
+  reply.Run = record.Data.Run;
+  reply.Where = where;
+  send(effects, record.Data.Executor, reply);
+}
+
+/// Takes the longer answer of two copies of the same run.
+void mergeAnswer(Record &record, const message::RecordCopy &copy) {
+  if (copy.Answer.size() <= record.Data.Answer.size())
+    return;
+  record.Data.Answer = copy.Answer;
+  record.Data.Tokens = copy.Tokens;
+}
+
+/// An executor registers a request it already runs, because the owner changed or lost its copy.
+void registerExecution(State &state, const NodeId &from, const message::Submit &submit,
+                       const Now &now, Effects &effects) {
+  const auto &copy = submit.Record;
+  const bool known = detail::lookUp(state, copy.Key).Exists;
+  Record &record = detail::obtain(state, copy.Key, now);
+  if (record.Data.State == RecordState::Finished ||
+      (known && record.Data.State == RecordState::Running && record.Data.Run > copy.Run)) {
+    attach(effects, from, record);
+    return;
+  }
+  if (known && !copy.Spec.Repeatable && record.Data.State == RecordState::Closed &&
+      record.Data.Attempt >= copy.Attempt)
+    effects.Violations.push_back(Invariant::NotRunWithoutMark);
+  const std::size_t had = record.Data.Answer.size();
+  if (record.Data.State == RecordState::Running && record.Data.Run == copy.Run) {
+    mergeAnswer(record, copy);
+    record.Data.Executor = from;
+  } else {
+    record.Data = copy;
+    record.Data.State = RecordState::Running;
+    record.Data.Executor = from;
+  }
+  for (const Reader &reader : record.Readers)
+    if (record.Data.Answer.size() > had)
+      send(effects, reader.Node,
+           message::Chunk{reader.Number, had, record.Data.Answer.substr(had)});
+  if (!copy.Spec.Repeatable)
+    record.Data.Spec.Body.clear();
+  record.Mirrored = submit.DataCentre == state.DataCentre;
+  if (record.Mirrored || !copy.Spec.Repeatable)
+    detail::replicate(state, record, effects);
+  grant(effects, record, submit.Fallback ? message::Copies::Peer : message::Copies::Owner);
+}
+
+/// What is known of the key decides; returns true if the submit has been answered.
+bool answerFromRecord(State &state, const NodeId &from, const message::Submit &submit,
+                      Effects &effects) {
+  const auto &copy = submit.Record;
+  const detail::Known known = detail::lookUp(state, copy.Key);
+  if (!known.Exists)
+    return false;
+  if (known.BodyHash != copy.BodyHash) {
+    refuse(effects, from, copy, ResultCode::KeyReused);
+    return true;
+  }
+  const auto it = state.Records.find(copy.Key);
+  switch (known.State) {
+  case RecordState::Running:
+    if (it->second.Data.Executor == from && it->second.Granted)
+      // The reply was lost; the executor itself knows whether it has sent already.
+      grant(effects, it->second, message::Copies::Owner);
+    else if (it->second.Data.Executor != from)
+      attach(effects, from, it->second);
+    return true;
+  case RecordState::Finished:
+    if (it == state.Records.end()) {
+      refuse(effects, from, copy, ResultCode::AnswerExpired);
+    } else {
+      attach(effects, from, it->second);
+    }
+    return true;
+  case RecordState::Unknown:
+    refuse(effects, from, copy, ResultCode::OutcomeUnknown);
+    return true;
+  case RecordState::Closed:
+    if (copy.Attempt > known.Attempt)
+      return false;
+    refuse(effects, from, copy, ResultCode::AttemptClosed, known.Attempt + 1);
+    return true;
+  }
+  return false;
+}
+
+Record &createRun(State &state, const NodeId &from, const message::Submit &submit, const Now &now) {
+  Record &record = detail::obtain(state, submit.Record.Key, now);
+  const std::uint32_t run = record.Data.Run + 1;
+  record.Data = submit.Record;
+  record.Data.State = RecordState::Running;
+  record.Data.Run = run;
+  record.Data.Executor = from;
+  record.Granted = false;
+  if (!record.Data.Spec.Repeatable)
+    record.Data.Spec.Body.clear();
+  return record;
+}
+
+void acceptRepeatable(State &state, const NodeId &from, const message::Submit &submit,
+                      const Now &now, Effects &effects) {
+  Record &record = createRun(state, from, submit, now);
+  const ShardView *shard = state.Shards.empty() ? nullptr : &state.Shards[record.Shard];
+  const bool owner = shard != nullptr && shard->Mine == Role::Owner;
+  record.Mirrored = submit.DataCentre == state.DataCentre;
+  if (!record.Mirrored) {
+    grant(effects, record, owner ? message::Copies::Owner : message::Copies::Peer);
+    return;
+  }
+  if (!owner || !isSet(shard->Standby)) {
+    grant(effects, record, message::Copies::Local);
+    return;
+  }
+  const std::uint64_t seq = detail::replicate(state, record, effects);
+  detail::await(state, seq,
+                {Pending::Kind::Grant,
+                 record.Data.Key,
+                 record.Shard,
+                 from,
+                 record.Data.Attempt,
+                 record.Data.Run,
+                 0,
+                 {}},
+                now);
+}
+
+void acceptOnce(State &state, const NodeId &from, const message::Submit &submit, const Now &now,
+                Effects &effects) {
+  const auto &copy = submit.Record;
+  const ShardView &shard = state.Shards[shardOf(state, copy.Key)];
+  const auto created = uuid7Time(copy.Key.Key);
+  if (created && *created > now.Wall + state.Settings.ClockMargin) {
+    refuse(effects, from, copy, ResultCode::KeyTimeInFuture);
+    return;
+  }
+  if (!detail::lookUp(state, copy.Key).Exists &&
+      !mayRunAfterLoss(shard, state.Settings, copy.Key.Key, now.Wall)) {
+    refuse(effects, from, copy, ResultCode::ShardLost);
+    return;
+  }
+  const detail::Known before = detail::lookUp(state, copy.Key);
+  Record &record = createRun(state, from, submit, now);
+  if (!detail::needsAck(shard)) {
+    detail::noteEnded(state, record, RecordState::Closed);
+    detail::replicate(state, record, effects);
+    refuse(effects, from, copy, ResultCode::NoStandby, copy.Attempt + 1);
+    return;
+  }
+  const std::uint64_t seq = detail::replicate(state, record, effects);
+  detail::await(state, seq,
+                {Pending::Kind::Grant,
+                 copy.Key,
+                 record.Shard,
+                 from,
+                 copy.Attempt,
+                 record.Data.Run,
+                 before.Attempt,
+                 {}},
+                now);
+}
+
+/// The standby did not store the mark: nothing was granted, so the run is taken back.
+void takeBack(State &state, const Pending &pending, Record &record, Effects &effects,
+              ResultCode code) {
+  message::RecordCopy copy = record.Data;
+  detail::noteEnded(state, record, RecordState::Closed);
+  if (code == ResultCode::StaleEpoch)
+    record.Data.Attempt = pending.ClosedBefore;
+  detail::endReaders(record, code == ResultCode::StaleEpoch ? ResultCode::HandedOver : code,
+                     effects);
+  refuse(effects, pending.Requester, copy, code, copy.Attempt + 1);
+  if (record.Data.Attempt == 0)
+    state.Records.erase(copy.Key);
+}
+
+void settleGrant(State &state, const Pending &pending, ResultCode code, Effects &effects) {
+  const auto it = state.Records.find(pending.Key);
+  if (it == state.Records.end())
+    return;
+  Record &record = it->second;
+  const auto &data = record.Data;
+  if (data.State != RecordState::Running || data.Run != pending.Run ||
+      data.Executor != pending.Requester || record.Granted)
+    return;
+  if (code == ResultCode::Ok)
+    grant(effects, record, message::Copies::Owner);
+  else if (data.Spec.Repeatable)
+    grant(effects, record, message::Copies::Local);
+  else
+    takeBack(state, pending, record, effects, code);
+}
+
+void settleClose(const Pending &pending, ResultCode code, Effects &effects) {
+  const bool closed = code == ResultCode::Ok || code == ResultCode::AttemptClosed;
+  send(effects, pending.Requester,
+       message::CloseReply{pending.Key, pending.Attempt,
+                           closed ? ResultCode::Ok : ResultCode::OutcomeUnknown});
+}
+
+} // namespace
+
+namespace detail {
+
+void settle(State &state, const Pending &pending, ResultCode code, Effects &effects) {
+  if (pending.What == Pending::Kind::Grant)
+    settleGrant(state, pending, code, effects);
+  else
+    settleClose(pending, code, effects);
+}
+
+} // namespace detail
+
+Effects onSubmit(State &state, const NodeId &from, const message::Submit &submit, const Now &now) {
+  Effects effects;
+  const auto &copy = submit.Record;
+  if (state.Shards.empty() && !submit.Fallback) {
+    refuse(effects, from, copy, ResultCode::NotReady);
+    return effects;
+  }
+  if (!submit.Fallback && !state.Shards.empty()) {
+    const ShardView &shard = state.Shards[shardOf(state, copy.Key)];
+    if (shard.Mine != Role::Owner || submit.Epoch > shard.Epoch) {
+      refuse(effects, from, copy, ResultCode::StaleEpoch);
+      return effects;
+    }
+  }
+  if (submit.Executing) {
+    registerExecution(state, from, submit, now, effects);
+    return effects;
+  }
+  if (answerFromRecord(state, from, submit, effects))
+    return effects;
+  if (copy.Spec.Repeatable)
+    acceptRepeatable(state, from, submit, now, effects);
+  else if (submit.Fallback)
+    refuse(effects, from, copy, ResultCode::NoOwner);
+  else
+    acceptOnce(state, from, submit, now, effects);
+  return effects;
+}
+
+Effects onMarkReply(State &state, const NodeId &from, const message::MarkReply &reply,
+                    const Now &) {
+  Effects effects;
+  const auto it = state.Waiting.find(reply.Seq);
+  if (it == state.Waiting.end() || it->second.Shard != reply.Shard ||
+      reply.Shard >= state.Shards.size())
+    return effects;
+  // An acknowledgement from a former standby, or under a former epoch, promises nothing.
+  const ShardView &shard = state.Shards[reply.Shard];
+  if (reply.Code == ResultCode::Ok && (shard.Standby != from || shard.Epoch != reply.Epoch))
+    return effects;
+  const Pending pending = it->second;
+  state.Waiting.erase(it);
+  detail::settle(state, pending, reply.Code, effects);
+  return effects;
+}
+
+Effects onProgress(State &state, const NodeId &from, const message::Progress &progress,
+                   const Now &now) {
+  Effects effects;
+  const auto it = state.Records.find(progress.Key);
+  if (it == state.Records.end())
+    return effects;
+  Record &record = it->second;
+  auto &data = record.Data;
+  if (data.State != RecordState::Running || data.Run != progress.Run || data.Executor != from) {
+    // Another node executes by now: the sender becomes a reader.
+    if (data.Run > progress.Run || data.State == RecordState::Finished)
+      attach(effects, from, record);
+    return effects;
+  }
+  const std::uint64_t size = data.Answer.size();
+  if (progress.Offset > size || progress.Offset + progress.Bytes.size() <= size)
+    return effects;
+  const std::string fresh = progress.Bytes.substr(size - progress.Offset);
+  data.Answer += fresh;
+  data.Tokens = progress.Tokens;
+  record.Changed = now.Steady;
+  for (const Reader &reader : record.Readers)
+    send(effects, reader.Node, message::Chunk{reader.Number, size, fresh});
+  if (record.Mirrored && !state.Shards.empty()) {
+    const ShardView &shard = state.Shards[record.Shard];
+    if (shard.Mine == Role::Owner && isSet(shard.Standby))
+      send(effects, shard.Standby, message::Progress{data.Key, data.Run, size, fresh, data.Tokens});
+  }
+  return effects;
+}
+
+Effects onFinish(State &state, const NodeId &from, const message::Finish &finish, const Now &now) {
+  Effects effects;
+  const auto it = state.Records.find(finish.Key);
+  if (it == state.Records.end())
+    return effects;
+  Record &record = it->second;
+  auto &data = record.Data;
+  if (data.Run == finish.Run && data.State != RecordState::Running) {
+    send(effects, from, message::FinishReply{finish.Key, finish.Run});
+    return effects;
+  }
+  if (data.Run != finish.Run || data.Executor != from) {
+    attach(effects, from, record);
+    return effects;
+  }
+  // The executor registers again with the whole answer when no reply comes.
+  if (finish.Code == ResultCode::Ok && finish.TotalSize != data.Answer.size())
+    return effects;
+  data.Code = finish.Code;
+  data.Status = finish.Status;
+  data.ContentType = finish.ContentType;
+  data.Tokens = finish.Tokens;
+  record.Changed = now.Steady;
+  send(effects, from, message::FinishReply{finish.Key, finish.Run});
+  if (finish.Code == ResultCode::Ok) {
+    detail::noteFinished(state, record);
+    detail::endReaders(record, ResultCode::Ok, effects);
+    detail::replicate(state, record, effects);
+    return effects;
+  }
+  detail::endReaders(record, finish.Code, effects);
+  if (data.Spec.Repeatable) {
+    // A repeatable request that failed may be sent again under the same key.
+    data.State = RecordState::Closed;
+    data.Attempt = 0;
+    detail::replicate(state, record, effects);
+    state.Records.erase(it);
+    return effects;
+  }
+  detail::noteEnded(state, record, RecordState::Unknown);
+  detail::replicate(state, record, effects);
+  return effects;
+}
+
+Effects onHandover(State &state, const NodeId &from, const message::Handover &handover,
+                   const Now &now) {
+  Effects effects;
+  const auto &copy = handover.Record;
+  const detail::Known known = detail::lookUp(state, copy.Key);
+  const bool settled =
+      known.Exists && (known.Run > copy.Run || known.State == RecordState::Finished);
+  if (!copy.Spec.Repeatable || settled) {
+    send(effects, from, message::HandoverReply{copy.Key, copy.Run, settled});
+    return effects;
+  }
+  Record &record = detail::obtain(state, copy.Key, now);
+  const std::size_t had = record.Data.Answer.size();
+  if (record.Data.Run != copy.Run || copy.Answer.size() >= had)
+    record.Data = copy;
+  record.Data.State = RecordState::Running;
+  record.Data.Run = copy.Run + 1;
+  record.Data.Executor = state.Self;
+  record.Mirrored = true;
+  record.Granted = true;
+  for (const Reader &reader : record.Readers)
+    if (record.Data.Answer.size() > had)
+      send(effects, reader.Node,
+           message::Chunk{reader.Number, had, record.Data.Answer.substr(had)});
+  detail::replicate(state, record, effects);
+  effects.Takeovers.push_back(record.Data);
+  send(effects, from, message::HandoverReply{copy.Key, copy.Run, true});
+  return effects;
+}
+
+} // namespace chervil::record
--- /dev/null
+++ b/packages/record/RecordTest.cpp
@@ -0,0 +1,280 @@
+#include "base/Uuid.h"
+#include "record/Owner.h"
+#include "record/Retention.h"
+#include "record/Shards.h"
+#include "record/Standby.h"
+
+#include <boost/test/unit_test.hpp>
+#include <optional>
+
+using namespace chervil;
+using namespace chervil::record;
+using message::RecordState;
+using message::Verdict;
+
+namespace {
+
+const NodeId OwnerId{"a", 1};
+const NodeId StandbyId{"b", 2};
+const NodeId GatewayId{"c", 3};
+const NodeId OtherId{"d", 4};
+
+Now at(int ms) {
+  return {TimePoint(std::chrono::milliseconds(1'000'000 + ms)),
+          WallTime(std::chrono::milliseconds(1'764'800'000'000 + ms))};
+}
+
+ShardView view(Role mine, std::uint64_t epoch = 1, bool ready = true) {
+  return {mine, OwnerId, StandbyId, epoch, ready, false, {}};
+}
+
+State make(NodeId self, std::string dc, ShardView shard) {
+  State state;
+  state.Self = std::move(self);
+  state.DataCentre = std::move(dc);
+  state.Shards = {std::move(shard)};
+  return state;
+}
+
+message::Submit request(const std::string &key, bool repeatable, std::uint32_t attempt = 1) {
+  message::Submit submit;
+  submit.Record.Key = {"acme", key};
+  submit.Record.BodyHash = 7;
+  submit.Record.Attempt = attempt;
+  submit.Record.Spec.Repeatable = repeatable;
+  submit.Record.Spec.Body = "body";
+  submit.Epoch = 1;
+  submit.DataCentre = "dc3";
+  return submit;
+}
+
+template <typename T> std::optional<T> find(const Effects &effects, const NodeId &to) {
+  for (const auto &it : effects.Sends)
+    if (it.To == to)
+      if (const T *what = std::get_if<T>(&it.What))
+        return *what;
+  return std::nullopt;
+}
+
+/// Owner and standby with a helper that carries a mark across.
+struct Pair {
+  State Owner = make(OwnerId, "dc1", view(Role::Owner));
+  State Standby = make(StandbyId, "dc2", view(Role::Standby));
+
+  Effects grantThrough(const Effects &effects, int ms) {
+    const auto mark = find<message::Mark>(effects, StandbyId);
+    BOOST_REQUIRE(mark.has_value());
+    const auto reply = find<message::MarkReply>(onMark(Standby, OwnerId, *mark, at(ms)), OwnerId);
+    BOOST_REQUIRE(reply.has_value());
+    return onMarkReply(Owner, StandbyId, *reply, at(ms));
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RequestRecord)
+
+// Guards against a grant before the standby holds the mark.
+BOOST_FIXTURE_TEST_CASE(GrantWaitsForTheStandby, Pair) {
+  const Effects first = onSubmit(Owner, GatewayId, request("k", false), at(0));
+  BOOST_TEST(!find<message::SubmitReply>(first, GatewayId).has_value());
+  const auto reply = find<message::SubmitReply>(grantThrough(first, 1), GatewayId);
+  BOOST_REQUIRE(reply.has_value());
+  BOOST_TEST((reply->Decision == Verdict::Granted));
+  BOOST_TEST(Standby.Records.at({"acme", "k"}).Data.Spec.Body.empty());
+}
+
+// Guards against a second execution when the same key arrives at another gateway.
+BOOST_FIXTURE_TEST_CASE(SecondGatewayAttaches, Pair) {
+  grantThrough(onSubmit(Owner, GatewayId, request("k", false), at(0)), 1);
+  const auto reply =
+      find<message::SubmitReply>(onSubmit(Owner, OtherId, request("k", false), at(2)), OtherId);
+  BOOST_REQUIRE(reply.has_value());
+  BOOST_TEST((reply->Decision == Verdict::Attached));
+}
+
+// Guards against a late copy of a closed attempt that runs after not_run was answered.
+BOOST_FIXTURE_TEST_CASE(ClosedAttemptNeverRuns, Pair) {
+  const Effects closing = onClose(Owner, GatewayId, {{"acme", "k"}, 7, 1, 0}, at(0));
+  BOOST_TEST(!find<message::CloseReply>(closing, GatewayId).has_value());
+  const auto closed = find<message::CloseReply>(grantThrough(closing, 1), GatewayId);
+  BOOST_REQUIRE(closed.has_value());
+  BOOST_TEST((closed->Code == ResultCode::Ok));
+  record::tick(Owner, at(2));
+  const auto late =
+      find<message::SubmitReply>(onSubmit(Owner, OtherId, request("k", false), at(3)), OtherId);
+  BOOST_REQUIRE(late.has_value());
+  BOOST_TEST((late->Code == ResultCode::AttemptClosed));
+  BOOST_TEST(late->NextAttempt == 2U);
+  const auto next = find<message::SubmitReply>(
+      grantThrough(onSubmit(Owner, OtherId, request("k", false, 2), at(4)), 5), OtherId);
+  BOOST_REQUIRE(next.has_value());
+  BOOST_TEST((next->Decision == Verdict::Granted));
+}
+
+// Guards against a grant by an owner for an attempt that was closed at the standby.
+BOOST_FIXTURE_TEST_CASE(CloseAtTheStandbyStopsTheOwner, Pair) {
+  const auto closed = find<message::CloseReply>(
+      onClose(Standby, OtherId, {{"acme", "k"}, 7, 1, 0}, at(0)), OtherId);
+  BOOST_REQUIRE(closed.has_value());
+  BOOST_TEST((closed->Code == ResultCode::Ok));
+  const auto reply = find<message::SubmitReply>(
+      grantThrough(onSubmit(Owner, GatewayId, request("k", false), at(1)), 2), GatewayId);
+  BOOST_REQUIRE(reply.has_value());
+  BOOST_TEST((reply->Code == ResultCode::AttemptClosed));
+}
+
+// Guards against not_run for a key that has a mark.
+BOOST_FIXTURE_TEST_CASE(CloseOfAMarkedKeyIsUnknown, Pair) {
+  grantThrough(onSubmit(Owner, GatewayId, request("k", false), at(0)), 1);
+  for (State *state : {&Owner, &Standby}) {
+    const auto reply = find<message::CloseReply>(
+        onClose(*state, OtherId, {{"acme", "k"}, 7, 1, 0}, at(2)), OtherId);
+    BOOST_REQUIRE(reply.has_value());
+    BOOST_TEST((reply->Code == ResultCode::OutcomeUnknown));
+  }
+}
+
+// Guards against a paused owner that grants after its standby was promoted.
+BOOST_FIXTURE_TEST_CASE(PromotedStandbyRefusesTheOldEpoch, Pair) {
+  const Effects first = onSubmit(Owner, GatewayId, request("k", false), at(0));
+  ShardView promoted = view(Role::Owner, 2, false);
+  promoted.Owner = StandbyId;
+  promoted.Standby = OtherId;
+  onShards(
+      Standby, {promoted}, [](const NodeId &) { return true; }, at(1));
+  const auto mark = find<message::Mark>(first, StandbyId);
+  const auto reply = find<message::MarkReply>(onMark(Standby, OwnerId, *mark, at(2)), OwnerId);
+  BOOST_REQUIRE(reply.has_value());
+  BOOST_TEST((reply->Code == ResultCode::StaleEpoch));
+  const auto refusal =
+      find<message::SubmitReply>(onMarkReply(Owner, StandbyId, *reply, at(3)), GatewayId);
+  BOOST_REQUIRE(refusal.has_value());
+  BOOST_TEST((refusal->Decision == Verdict::Refused));
+}
+
+// Guards against running a key that may have run before owner and standby were lost.
+BOOST_AUTO_TEST_CASE(LostShardRunsOnlyProvablyYoungerKeys) {
+  ShardView lost = view(Role::Owner, 5);
+  lost.Lost = true;
+  lost.LostSince = at(0).Wall;
+  State state = make(OwnerId, "dc1", lost);
+  const auto old = find<message::SubmitReply>(
+      onSubmit(state, GatewayId, request("plain", false), at(10'000)), GatewayId);
+  BOOST_REQUIRE(old.has_value());
+  BOOST_TEST((old->Code == ResultCode::ShardLost));
+  Random rng(1);
+  const std::string young = makeUuid7(at(5000).Wall, rng);
+  const Effects accepted = onSubmit(state, GatewayId, request(young, false), at(5001));
+  BOOST_TEST(find<message::Mark>(accepted, StandbyId).has_value());
+  const std::string future = makeUuid7(at(20'000).Wall, rng);
+  const auto early = find<message::SubmitReply>(
+      onSubmit(state, GatewayId, request(future, false), at(10'000)), GatewayId);
+  BOOST_REQUIRE(early.has_value());
+  BOOST_TEST((early->Code == ResultCode::KeyTimeInFuture));
+}
+
+// Guards against a lost draft when its executor dies, and against bytes delivered twice.
+BOOST_FIXTURE_TEST_CASE(OwnerTakesOverFromADeadExecutor, Pair) {
+  const auto granted =
+      find<message::SubmitReply>(onSubmit(Owner, GatewayId, request("k", true), at(0)), GatewayId);
+  BOOST_REQUIRE(granted.has_value());
+  onFetch(Owner, OtherId, {{"acme", "k"}, 0, 9, false}, at(1));
+  onProgress(Owner, GatewayId, {{"acme", "k"}, 1, 0, "abc", 3}, at(2));
+  const auto chunk = find<message::Chunk>(
+      onProgress(Owner, GatewayId, {{"acme", "k"}, 1, 2, "cd", 4}, at(3)), OtherId);
+  BOOST_REQUIRE(chunk.has_value());
+  BOOST_TEST(chunk->Bytes == "d");
+  BOOST_TEST(chunk->Offset == 3U);
+  const Effects dead = onMemberDead(Owner, GatewayId, at(4));
+  BOOST_REQUIRE(dead.Takeovers.size() == 1U);
+  BOOST_TEST(dead.Takeovers[0].Answer == "abcd");
+  BOOST_TEST(dead.Takeovers[0].Run == 2U);
+  const auto stale = find<message::SubmitReply>(
+      onProgress(Owner, GatewayId, {{"acme", "k"}, 1, 4, "X", 5}, at(5)), GatewayId);
+  BOOST_REQUIRE(stale.has_value());
+  BOOST_TEST((stale->Decision == Verdict::Attached));
+  BOOST_TEST(Owner.Records.at({"acme", "k"}).Data.Answer == "abcd");
+}
+
+// Guards against a non-repeatable call that is run again after its executor died.
+BOOST_FIXTURE_TEST_CASE(DeadExecutorOfANonRepeatableCallMeansUnknown, Pair) {
+  grantThrough(onSubmit(Owner, GatewayId, request("k", false), at(0)), 1);
+  BOOST_TEST(onMemberDead(Owner, GatewayId, at(2)).Takeovers.empty());
+  record::tick(Owner, at(3));
+  const auto reply =
+      find<message::SubmitReply>(onSubmit(Owner, OtherId, request("k", false), at(4)), OtherId);
+  BOOST_REQUIRE(reply.has_value());
+  BOOST_TEST((reply->Code == ResultCode::OutcomeUnknown));
+}
+
+// Guards against a replay to the wrong request when a key is used for another body.
+BOOST_FIXTURE_TEST_CASE(FinishedAnswerIsReplayedForTheSameBodyOnly, Pair) {
+  grantThrough(onSubmit(Owner, GatewayId, request("k", false), at(0)), 1);
+  onProgress(Owner, GatewayId, {{"acme", "k"}, 1, 0, "done", 1}, at(2));
+  onFinish(Owner, GatewayId, {{"acme", "k"}, 1, ResultCode::Ok, 201, "text/plain", 4, 1}, at(3));
+  const Effects read = onFetch(Owner, OtherId, {{"acme", "k"}, 0, 5, false}, at(4));
+  BOOST_TEST(find<message::Chunk>(read, OtherId)->Bytes == "done");
+  BOOST_TEST(find<message::End>(read, OtherId)->Status == 201);
+  message::Submit other = request("k", false);
+  other.Record.BodyHash = 8;
+  const auto reused = find<message::SubmitReply>(onSubmit(Owner, OtherId, other, at(5)), OtherId);
+  BOOST_TEST((reused->Code == ResultCode::KeyReused));
+}
+
+// Guards against a finish that passes for whole although bytes are missing at the owner.
+BOOST_FIXTURE_TEST_CASE(FinishWithMissingBytesIsNotTaken, Pair) {
+  onSubmit(Owner, GatewayId, request("k", true), at(0));
+  const Effects early =
+      onFinish(Owner, GatewayId, {{"acme", "k"}, 1, ResultCode::Ok, 200, "", 4, 1}, at(1));
+  BOOST_TEST(!find<message::FinishReply>(early, GatewayId).has_value());
+  message::Submit again = request("k", true);
+  again.Executing = true;
+  again.Record.Run = 1;
+  again.Record.Answer = "full";
+  onSubmit(Owner, GatewayId, again, at(2));
+  const Effects late =
+      onFinish(Owner, GatewayId, {{"acme", "k"}, 1, ResultCode::Ok, 200, "", 4, 1}, at(3));
+  BOOST_TEST(find<message::FinishReply>(late, GatewayId).has_value());
+}
+
+// Guards against a new standby that misses marks made before or during the transfer.
+BOOST_FIXTURE_TEST_CASE(NewStandbyReceivesTheWholeTable, Pair) {
+  Owner.Settings.ChunkBytes = 200;
+  for (int i = 0; i < 20; ++i)
+    grantThrough(onSubmit(Owner, GatewayId, request("k" + std::to_string(i), false), at(0)), 1);
+  onClose(Owner, OtherId, {{"acme", "closed"}, 7, 1, 0}, at(1));
+  record::tick(Owner, at(2));
+  State fresh = make(OtherId, "dc4", view(Role::Standby, 2, false));
+  fresh.Shards[0].Standby = OtherId;
+  ShardView next = view(Role::Owner, 2, false);
+  next.Standby = OtherId;
+  Effects effects = onShards(
+      Owner, {next}, [](const NodeId &) { return true; }, at(3));
+  for (int i = 0; i < 100 && effects.ReadyStandbys.empty(); ++i) {
+    const auto chunk = find<message::TableChunk>(effects, OtherId);
+    BOOST_REQUIRE(chunk.has_value());
+    const auto ack = find<message::TableAck>(onTableChunk(fresh, OwnerId, *chunk, at(4)), OwnerId);
+    effects = onTableAck(Owner, OtherId, *ack, at(4));
+  }
+  BOOST_TEST(effects.ReadyStandbys.size() == 1U);
+  BOOST_TEST(fresh.Records.size() == 20U);
+  BOOST_TEST(findMark(fresh.Marks, {"acme", "closed"}) != nullptr);
+}
+
+// Guards against unbounded memory: answers leave first, marks after the retry horizon.
+BOOST_FIXTURE_TEST_CASE(AnswersAndMarksExpire, Pair) {
+  Owner.Settings.AnswerBudget = 10;
+  grantThrough(onSubmit(Owner, GatewayId, request("k", false), at(0)), 1);
+  onProgress(Owner, GatewayId, {{"acme", "k"}, 1, 0, std::string(100, 'x'), 1}, at(2));
+  onFinish(Owner, GatewayId, {{"acme", "k"}, 1, ResultCode::Ok, 200, "", 100, 1}, at(3));
+  record::tick(Owner, at(4));
+  BOOST_TEST(Owner.Records.empty());
+  const auto reply =
+      find<message::SubmitReply>(onSubmit(Owner, OtherId, request("k", false), at(5)), OtherId);
+  BOOST_TEST((reply->Code == ResultCode::AnswerExpired));
+  record::tick(Owner, at(16 * 60 * 1000));
+  BOOST_TEST(Owner.Marks.Entries.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/packages/record/Replication.h
@@ -0,0 +1,51 @@
+// Internal to the package: copying records to the standby and finding what is held of a key.
+#ifndef CHERVIL_RECORD_REPLICATION_H
+#define CHERVIL_RECORD_REPLICATION_H
+
+#include "record/Effects.h"
+#include "record/State.h"
+
+namespace chervil::record::detail {
+
+/// Highest closed attempt, state and hash of a key from the record or its mark.
+struct Known {
+  bool Exists = false;
+  message::RecordState State = message::RecordState::Running;
+  std::uint64_t BodyHash = 0;
+  std::uint32_t Attempt = 0;
+  std::uint32_t Run = 0;
+};
+
+Known lookUp(const State &state, const RequestKey &key);
+
+/// The record of a key, re-created from its mark if only that is left, or new and empty.
+Record &obtain(State &state, const RequestKey &key, const Now &now);
+
+/// Sends the record to the shard's standby, if there is one; returns the sequence number.
+std::uint64_t replicate(State &state, const Record &record, Effects &effects);
+
+/// Registers a reply that waits for the acknowledgement of `seq`.
+void await(State &state, std::uint64_t seq, Pending pending, const Now &now);
+
+/// True if the standby must acknowledge before anything is promised.
+bool needsAck(const ShardView &shard);
+
+/// Tells all readers that the answer has ended and forgets them.
+void endReaders(Record &record, ResultCode code, Effects &effects);
+
+/// Moves a record to Finished and into the answer budget.
+void noteFinished(State &state, Record &record);
+
+/// Moves a record to Closed or Unknown.
+void noteEnded(State &state, Record &record, message::RecordState ended);
+
+/// Takes the answer of a record out of the byte count.
+void dropAnswer(State &state, Record &record);
+
+template <typename T> void send(Effects &effects, const NodeId &to, T what) {
+  effects.Sends.push_back({to, message::Message(std::move(what))});
+}
+
+} // namespace chervil::record::detail
+
+#endif
--- /dev/null
+++ b/packages/record/Retention.cpp
@@ -0,0 +1,81 @@
+#include "record/Retention.h"
+
+#include "record/Replication.h"
+#include "record/Standby.h"
+
+#include <utility>
+
+namespace chervil::record {
+
+using message::RecordState;
+
+namespace detail {
+void settle(State &state, const Pending &pending, ResultCode code, Effects &effects);
+}
+
+namespace {
+
+void expireWaiting(State &state, const Now &now, Effects &effects) {
+  while (!state.Waiting.empty() && state.Waiting.begin()->second.Deadline <= now.Steady) {
+    const Pending pending = state.Waiting.begin()->second;
+    state.Waiting.erase(state.Waiting.begin());
+    detail::settle(state, pending, ResultCode::OutcomeUnknown, effects);
+  }
+}
+
+void repeatTransfers(State &state, const Now &now, Effects &effects) {
+  for (auto &[shard, transfer] : state.Transfers) {
+    if (transfer.Deadline > now.Steady)
+      continue;
+    if (transfer.Index == UINT32_MAX) {
+      transfer.Deadline = now.Steady + state.Settings.TransferTimeout;
+      effects.ReadyStandbys.push_back({shard, transfer.Epoch});
+      continue;
+    }
+    detail::startTransfer(state, shard, now, effects);
+  }
+}
+
+/// Keeps only the mark of an ended non-repeatable record, and nothing of a repeatable one.
+void compact(State &state, const RequestKey &key) {
+  const auto it = state.Records.find(key);
+  if (it == state.Records.end() || it->second.Data.State == RecordState::Running)
+    return;
+  const Record &record = it->second;
+  const auto &data = record.Data;
+  if (!data.Spec.Repeatable)
+    addMark(state.Marks, hashOf(key),
+            {checkOf(key), data.BodyHash, record.Changed, record.Shard, data.Attempt, data.Run,
+             data.State});
+  detail::dropAnswer(state, it->second);
+  state.Records.erase(it);
+}
+
+void keepBudget(State &state, const Now &now) {
+  const TimePoint limit = now.Steady - state.Settings.RetryHorizon;
+  while (!state.FinishedOrder.empty()) {
+    const RequestKey key = state.FinishedOrder.front();
+    const auto it = state.Records.find(key);
+    const bool gone = it == state.Records.end();
+    const bool expired = !gone && it->second.Changed < limit;
+    if (!gone && !expired && state.AnswerBytes <= state.Settings.AnswerBudget)
+      return;
+    state.FinishedOrder.pop_front();
+    compact(state, key);
+  }
+}
+
+} // namespace
+
+Effects tick(State &state, const Now &now) {
+  Effects effects;
+  expireWaiting(state, now, effects);
+  repeatTransfers(state, now, effects);
+  for (const RequestKey &key : std::exchange(state.Ended, {}))
+    compact(state, key);
+  keepBudget(state, now);
+  expireMarks(state.Marks, now.Steady - state.Settings.RetryHorizon);
+  return effects;
+}
+
+} // namespace chervil::record
--- /dev/null
+++ b/packages/record/Shards.cpp
@@ -0,0 +1,93 @@
+#include "record/Shards.h"
+
+#include "record/Replication.h"
+#include "record/Standby.h"
+
+namespace chervil::record {
+
+using message::RecordState;
+
+namespace {
+
+/// The executor of a running record is gone.
+void resolveOrphan(State &state, Record &record, const Now &now, Effects &effects) {
+  auto &data = record.Data;
+  record.Changed = now.Steady;
+  if (!data.Spec.Repeatable) {
+    detail::noteEnded(state, record, RecordState::Unknown);
+    detail::endReaders(record, ResultCode::ExecutorLost, effects);
+    detail::replicate(state, record, effects);
+    return;
+  }
+  ++data.Run;
+  data.Executor = state.Self;
+  record.Granted = true;
+  record.Mirrored = true;
+  detail::replicate(state, record, effects);
+  effects.Takeovers.push_back(data);
+}
+
+bool holds(const State &state, const Record &record) {
+  return state.Shards.empty() || state.Shards[record.Shard].Mine == Role::Owner ||
+         state.Shards[record.Shard].Mine == Role::None;
+}
+
+void leaveOwnership(State &state, std::uint32_t shard, Effects &effects) {
+  for (auto &[key, record] : state.Records)
+    if (record.Shard == shard)
+      detail::endReaders(record, ResultCode::HandedOver, effects);
+  state.Transfers.erase(shard);
+}
+
+void takeOwnership(State &state, std::uint32_t shard, const IsAlive &alive, const Now &now,
+                   Effects &effects) {
+  for (auto &[key, record] : state.Records)
+    if (record.Shard == shard && record.Data.State == RecordState::Running &&
+        record.Data.Executor != state.Self && !alive(record.Data.Executor))
+      resolveOrphan(state, record, now, effects);
+}
+
+} // namespace
+
+Effects onShards(State &state, std::vector<ShardView> shards, const IsAlive &alive,
+                 const Now &now) {
+  Effects effects;
+  const std::vector<ShardView> before = std::move(state.Shards);
+  const bool first = before.size() != shards.size();
+  state.Shards = std::move(shards);
+  if (first)
+    for (auto &[key, record] : state.Records)
+      record.Shard = shardOf(state, key);
+  for (std::uint32_t i = 0; i < state.Shards.size(); ++i) {
+    const ShardView old = first ? ShardView{} : before[i];
+    const ShardView &view = state.Shards[i];
+    if (view.Epoch < old.Epoch)
+      effects.Violations.push_back(Invariant::VersionNeverFalls);
+    if (old.Mine == Role::Owner && view.Mine != Role::Owner)
+      leaveOwnership(state, i, effects);
+    if (old.Mine != Role::None && view.Mine == Role::None)
+      detail::forgetShard(state, i);
+    if (view.Mine != Role::Owner)
+      continue;
+    if (old.Mine != Role::Owner)
+      takeOwnership(state, i, alive, now, effects);
+    if (view.Ready || !isSet(view.Standby))
+      state.Transfers.erase(i);
+    else if (old.Epoch != view.Epoch || old.Standby != view.Standby || old.Mine != view.Mine)
+      detail::startTransfer(state, i, now, effects);
+  }
+  return effects;
+}
+
+Effects onMemberDead(State &state, const NodeId &dead, const Now &now) {
+  Effects effects;
+  for (auto &[key, record] : state.Records) {
+    std::erase_if(record.Readers, [&](const Reader &it) { return it.Node == dead; });
+    if (record.Data.State == RecordState::Running && record.Data.Executor == dead &&
+        holds(state, record))
+      resolveOrphan(state, record, now, effects);
+  }
+  return effects;
+}
+
+} // namespace chervil::record
