Start calls from data callbacks; close unanswered requests without a status

Cause: libcurl refuses a new handle inside its own callbacks, so a call started from OnHead or OnData never ran. abortStream() on a request without a response sent status 200 before it closed the connection. Change: such calls are added when libcurl has returned; an aborted request without a response is closed with no status line. Conclusion: a lost answer can be told from a cut one.

--- a/packages/net/HttpClient.cpp
+++ b/packages/net/HttpClient.cpp
@@ -41,6 +41,9 @@
   bool Busy = false;
   std::unordered_map<std::uint64_t, std::unique_ptr<Transfer>> Transfers;
   std::vector<std::uint64_t> Cancelled;
+  /// Calls started from a callback of libcurl, which accepts no new handle while it is on the
+  /// stack (CURLM_RECURSIVE_API_CALL).
+  std::vector<std::uint64_t> Postponed;
   std::vector<CURL *> IdleHandles;
 };
 
@@ -89,6 +92,11 @@
     release(client, *it->second);
     client.Transfers.erase(it);
   }
+  for (const std::uint64_t id : std::exchange(client.Postponed, {})) {
+    const auto it = client.Transfers.find(id);
+    if (it != client.Transfers.end())
+      curl_multi_add_handle(client.Multi, it->second->Easy);
+  }
 }
 
 void act(HttpClient &client, curl_socket_t socket, int events) {
@@ -287,7 +295,10 @@
   const std::uint64_t id = t->Id;
   CURL *easy = t->Easy;
   client.Transfers.emplace(id, std::move(t));
-  curl_multi_add_handle(client.Multi, easy);
+  if (client.Busy)
+    client.Postponed.push_back(id);
+  else
+    curl_multi_add_handle(client.Multi, easy);
   return id;
 }
 
--- a/packages/net/HttpServer.cpp
+++ b/packages/net/HttpServer.cpp
@@ -133,6 +133,9 @@
   return result;
 }
 
+/// True if the connection is to be closed before a status line was sent.
+bool closesUnanswered(const Connection &c) { return c.Aborted && !c.Answered; }
+
 MHD_Result dispatch(Connection &c) {
   c.Dispatched = true;
   MHD_get_connection_values(c.Raw, MHD_HEADER_KIND, collectLower, &c.Request.Headers);
@@ -143,6 +146,8 @@
   c.Server->Callbacks.OnRequest(std::move(c.Request));
   c.Request = HttpRequest{};
   c.Request.Id = id;
+  if (closesUnanswered(c))
+    return MHD_NO;
   if (c.Answered)
     return queueResponse(c);
   suspend(c);
@@ -174,6 +179,8 @@
   }
   if (!c->Dispatched)
     return dispatch(*c);
+  if (closesUnanswered(*c))
+    return MHD_NO;
   if (c->Answered && !c->Queued)
     return queueResponse(*c);
   return MHD_YES;
@@ -296,7 +303,7 @@
 
 void respond(HttpServer &server, std::uint64_t id, HttpResponse response) {
   Connection *c = find(server, id);
-  if (c == nullptr || c->Answered)
+  if (c == nullptr || c->Answered || c->Aborted)
     return;
   c->Answered = true;
   c->Response = std::move(response);
@@ -305,7 +312,7 @@
 
 void beginStream(HttpServer &server, std::uint64_t id, HttpResponse response) {
   Connection *c = find(server, id);
-  if (c == nullptr || c->Answered)
+  if (c == nullptr || c->Answered || c->Aborted)
     return;
   c->Answered = true;
   c->Streaming = true;
@@ -335,10 +342,6 @@
   if (c == nullptr)
     return;
   c->Aborted = true;
-  if (!c->Answered) {
-    c->Answered = true;
-    c->Streaming = true;
-  }
   wake(*c);
 }
 
--- a/packages/net/HttpServer.h
+++ b/packages/net/HttpServer.h
@@ -78,6 +78,7 @@
 void endStream(HttpServer &server, std::uint64_t id);
 
 /// Closes the connection without ending the response, so that it cannot pass for a whole one.
+/// Without a response so far, the caller receives no status line either.
 void abortStream(HttpServer &server, std::uint64_t id);
 
 /// Bytes written but not yet handed to the socket.
--- a/packages/net/NetTest.cpp
+++ b/packages/net/NetTest.cpp
@@ -154,6 +154,50 @@
   close(listener);
 }
 
+// Guards against a call that never starts because libcurl refuses new handles inside its callbacks.
+BOOST_FIXTURE_TEST_CASE(CallStartedFromDataCallbackRuns, Fixture) {
+  int requests = 0;
+  serve([&](HttpRequest &&r) {
+    ++requests;
+    respond(*Server, r.Id, {.Body = "x"});
+  });
+  startCall(*Client, {.Url = Url + "/first"},
+            {.OnHead = {},
+             .OnData = [this](std::string_view) { call({.Url = Url + "/second"}); },
+             .OnEnd = {}});
+  run(EventLoop);
+  BOOST_TEST(requests == 2);
+  BOOST_REQUIRE(Ends.size() == 1U);
+  BOOST_TEST(Ends[0].Status == 200);
+}
+
+// Guards against a lost answer that reaches the caller as a response with status 200.
+BOOST_FIXTURE_TEST_CASE(AbortBeforeTheResponseSendsNoStatus, Fixture) {
+  int gone = 0;
+  auto server =
+      startHttpServer(EventLoop, {},
+                      {.OnRequest =
+                           [&](HttpRequest &&r) {
+                             if (r.Path == "/now")
+                               return abortStream(*Server, r.Id);
+                             after(Timers, 5ms, [this, id = r.Id] { abortStream(*Server, id); });
+                           },
+                       .OnGone = [&](std::uint64_t) { ++gone; }});
+  Server = std::move(*server);
+  Url = "http://127.0.0.1:" + std::to_string(port(*Server));
+  after(Timers, 10s, [this] { stop(EventLoop); });
+  for (const char *path : {"/now", "/later"}) {
+    call({.Method = "POST", .Url = Url + path, .Headers = {}, .Body = "b"});
+    run(EventLoop);
+  }
+  BOOST_REQUIRE(Ends.size() == 2U);
+  for (const HttpEnd &end : Ends) {
+    BOOST_TEST((end.Failure == HttpFailure::Broken));
+    BOOST_TEST(end.Status == 0);
+  }
+  BOOST_TEST(gone == 2);
+}
+
 // Guards against a body over the limit that is handled as a truncated one.
 BOOST_FIXTURE_TEST_CASE(OversizedBodyIsReported, Fixture) {
   bool tooLarge = false;
