Add node: all decisions of one node, driven by events (not yet in the build order)

Cause: gateway, executor, owner and duty decisions must be testable without sockets. Change: node package with accepting, executing, reading, handing over and shard duty; a driver that runs many nodes in one process with faults.

--- a/packages/message/RequestSpec.h
+++ b/packages/message/RequestSpec.h
@@ -2,6 +2,7 @@
 #ifndef CHERVIL_MESSAGE_REQUESTSPEC_H
 #define CHERVIL_MESSAGE_REQUESTSPEC_H
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -24,6 +25,10 @@
   std::uint8_t Priority = 1;
   /// Upper bound on tokens to generate, 0 when not stated.
   std::uint32_t MaxTokens = 0;
+  /// Bound on the time at a back end, 0 for none.
+  std::chrono::milliseconds Timeout{0};
+  /// Kind of work as named in the contract's hints; may be empty.
+  std::string Hint;
 };
 
 } // namespace chervil::message
--- /dev/null
+++ b/packages/node/Context.cpp
@@ -0,0 +1,101 @@
+#include "node/Context.h"
+
+#include "base/Hash.h"
+#include "membership/Queries.h"
+
+namespace chervil::node::detail {
+
+using message::MemberState;
+
+void emit(Context &ctx, Effect effect) { ctx.Out.push_back(std::move(effect)); }
+
+void count(Context &ctx, const char *metric, const char *reason) {
+  emit(ctx, Count{metric, reason});
+}
+
+void violate(Context &ctx, Invariant what, std::string detail) {
+  emit(ctx, Violation{what, std::move(detail)});
+}
+
+void sendTo(Context &ctx, const NodeId &to, message::Message what) {
+  if (to == ctx.S.Self) {
+    ctx.Local.push_back(std::move(what));
+    return;
+  }
+  const membership::Member *member = membership::find(ctx.S.Members, to);
+  if (member == nullptr || member->Info.PeerAddress.empty()) {
+    count(ctx, "peer_dropped", "unknown_member");
+    return;
+  }
+  emit(ctx, SendPeer{member->Info.PeerAddress, std::move(what)});
+}
+
+void apply(Context &ctx, record::Effects effects) {
+  for (auto &it : effects.Sends)
+    sendTo(ctx, it.To, std::move(it.What));
+  for (const Invariant it : effects.Violations)
+    violate(ctx, it, "record");
+  for (auto &it : effects.Takeovers)
+    startTakeover(ctx, std::move(it));
+  if (!effects.ReadyStandbys.empty()) {
+    // The holder of duty/shards is one of the watchers; which one is not known here.
+    const message::StandbyReady ready{effects.ReadyStandbys};
+    for (const auto &[centre, ids] : membership::watchers(ctx.S.Members))
+      for (const NodeId &id : ids)
+        sendTo(ctx, id, ready);
+  }
+}
+
+bool isAlive(const State &state, const NodeId &id) {
+  if (id == state.Self)
+    return true;
+  const membership::Member *member = membership::find(state.Members, id);
+  return member != nullptr && member->Info.State != MemberState::Dead;
+}
+
+bool isStaying(const State &state, const NodeId &id) {
+  return isAlive(state, id) && !membership::isLeaving(state.Members, id);
+}
+
+const record::ShardView *shardFor(const State &state, const RequestKey &key) {
+  if (state.Records.Shards.empty())
+    return nullptr;
+  return &state.Records.Shards[record::shardOf(state.Records, key)];
+}
+
+namespace {
+
+/// Live node with the highest hash for the key, in another data centre if there is one.
+NodeId rendezvous(const State &state, const RequestKey &key) {
+  NodeId best = state.Self;
+  std::pair<int, std::uint64_t> bestScore{0, 0};
+  for (const membership::Member *it : membership::live(state.Members)) {
+    if (it->Info.Id == state.Self || !isStaying(state, it->Info.Id))
+      continue;
+    const int rank = it->Info.DataCentre != state.DataCentre ? 2 : 1;
+    const std::pair<int, std::uint64_t> score{rank, hashBytes(it->Info.Id.Name, hashOf(key))};
+    if (score > bestScore) {
+      bestScore = score;
+      best = it->Info.Id;
+    }
+  }
+  return best;
+}
+
+} // namespace
+
+std::optional<Holder> holderFor(const State &state, const RequestKey &key, bool repeatable,
+                                bool avoidOwner) {
+  const record::ShardView *shard = shardFor(state, key);
+  if (shard != nullptr && isSet(shard->Owner) && isAlive(state, shard->Owner) &&
+      !(avoidOwner && repeatable))
+    return Holder{shard->Owner, false};
+  if (!repeatable)
+    return std::nullopt;
+  if (shard != nullptr && isSet(shard->Standby) && shard->Standby != state.Self &&
+      isStaying(state, shard->Standby))
+    return Holder{shard->Standby, true};
+  return Holder{rendezvous(state, key), true};
+}
+
+} // namespace chervil::node::detail
--- /dev/null
+++ b/packages/node/Documents.cpp
@@ -0,0 +1,44 @@
+#include "config/Head.h"
+#include "contract/VersionedContract.h"
+#include "membership/Queries.h"
+#include "node/Context.h"
+
+namespace chervil::node::detail {
+
+namespace {
+
+constexpr std::string_view ShardMapName = "shards/map";
+
+} // namespace
+
+void onDocument(Context &ctx, const Document &document) {
+  if (document.Name == ShardMapName) {
+    adoptShardMap(ctx, document.Body);
+    return;
+  }
+  if (!document.Name.starts_with(config::ContractPrefix))
+    return;
+  const Result<VersionedContract> contract = parseVersionedContract(document.Body);
+  if (!contract) {
+    // Contracts are validated before they are stored, so this is a newer or damaged document. The
+    // version in force stays.
+    count(ctx, "document_rejected", "contract");
+    return;
+  }
+  ctx.S.Contracts[contract->Terms.Customer] = contract->Terms;
+  ctx.S.Tokens.clear();
+}
+
+void tickDocuments(Context &ctx) {
+  if (ctx.Time.Steady < ctx.S.NextSpread)
+    return;
+  ctx.S.NextSpread = ctx.Time.Steady + config::SpreadInterval;
+  std::vector<NodeId> members;
+  for (const membership::Member *it : membership::live(ctx.S.Members))
+    if (it->Info.Id != ctx.S.Self)
+      members.push_back(it->Info.Id);
+  apply(ctx, config::spread(ctx.S.Documents, members, ctx.Rng));
+  ctx.S.Members.DocsHash = config::docsHash(ctx.S.Documents);
+}
+
+} // namespace chervil::node::detail
--- /dev/null
+++ b/packages/node/Effect.h
@@ -0,0 +1,17 @@
+// Anything a node asks for.
+#ifndef CHERVIL_NODE_EFFECT_H
+#define CHERVIL_NODE_EFFECT_H
+
+#include "node/CallerEffects.h"
+#include "node/OuterEffects.h"
+
+#include <variant>
+
+namespace chervil::node {
+
+using Effect = std::variant<Begin, Bytes, Finish, Refuse, Moved, SendPeer, CallBackend,
+                            CancelBackend, ExportKv, WriteShardMap, Count, Violation, Stopped>;
+
+} // namespace chervil::node
+
+#endif
--- /dev/null
+++ b/packages/node/Execution.h
@@ -0,0 +1,63 @@
+// A request that this node runs on a back end.
+#ifndef CHERVIL_NODE_EXECUTION_H
+#define CHERVIL_NODE_EXECUTION_H
+
+#include "base/Time.h"
+#include "message/RecordCopy.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace chervil::node {
+
+enum class ExecutionPhase : std::uint8_t {
+  /// Looks for a back end, at NextTry.
+  Choosing,
+  Calling,
+  /// Waits for an exported KV cache before it moves to another back end.
+  Exporting,
+  /// Ended; waits until the owner has stored the end.
+  Finishing,
+  /// Nothing was sent; waits until the attempt is closed.
+  Closing,
+};
+
+struct Execution {
+  /// Key, run, request and the answer so far.
+  message::RecordCopy Record;
+  ExecutionPhase Phase = ExecutionPhase::Choosing;
+  std::vector<std::uint64_t> PrefixHashes;
+  std::uint32_t PromptTokens = 0;
+  /// Callers on this node.
+  std::vector<std::uint64_t> Callers;
+  /// Current call to a back end, 0 for none.
+  std::uint64_t BackendCall = 0;
+  std::string Backend;
+  std::string Address;
+  /// A request that may have reached a back end has been sent.
+  bool Sent = false;
+  std::vector<std::string> Avoid;
+  std::uint32_t Failures = 0;
+  std::chrono::milliseconds Backoff{0};
+  /// Handle of an exported KV cache, used by the next call.
+  std::string KvHandle;
+  TimePoint NextTry{};
+  TimePoint ChooseDeadline{};
+  /// The node that holds the record, and the bytes it has been sent.
+  NodeId Holder;
+  bool Fallback = false;
+  message::Copies Where = message::Copies::Owner;
+  std::uint64_t Reported = 0;
+  TimePoint ReportDue{};
+  /// Repetition of an unanswered Finish, Close or Submit.
+  TimePoint RepeatDue{};
+  /// The peer that was asked to take over, while the node leaves.
+  NodeId HandoverTo;
+  TimePoint HandoverDeadline{};
+  std::vector<std::string> HandoverRefused;
+};
+
+} // namespace chervil::node
+
+#endif
--- /dev/null
+++ b/packages/node/Node.cpp
@@ -0,0 +1,232 @@
+#include "node/Node.h"
+
+#include "node/Context.h"
+#include "record/Owner.h"
+#include "record/Retention.h"
+#include "record/Standby.h"
+
+namespace chervil::node {
+
+using namespace std::chrono_literals;
+
+namespace detail {
+namespace {
+
+// Work that needs no finer resolution than this runs on every fifth tick or so.
+constexpr Duration SlowTick = 100ms;
+// A deadline that is not known is treated as near.
+constexpr auto UnknownNotice = 5s;
+
+/// Messages between nodes, by type.
+struct PeerDispatch {
+  Context &Ctx;
+  const NodeId &From;
+  const std::string &Address;
+
+  void operator()(const message::Ping &m) const {
+    apply(Ctx, membership::onPing(Ctx.S.Members, From, Address, m, Ctx.Time, Ctx.Rng));
+    apply(Ctx, config::onPeerHash(Ctx.S.Documents, From, m.DocsHash, Ctx.Time));
+  }
+  void operator()(const message::PingRequest &m) const {
+    apply(Ctx, membership::onPingRequest(Ctx.S.Members, From, Address, m, Ctx.Time, Ctx.Rng));
+  }
+  void operator()(const message::Ack &m) const {
+    apply(Ctx, membership::onAck(Ctx.S.Members, From, Address, m, Ctx.Time, Ctx.Rng));
+    if (m.Subject == From)
+      apply(Ctx, config::onPeerHash(Ctx.S.Documents, From, m.DocsHash, Ctx.Time));
+  }
+  void operator()(const message::DocUpdate &m) const {
+    apply(Ctx, config::onUpdate(Ctx.S.Documents, m, Ctx.Time));
+  }
+  void operator()(const message::DocDigest &m) const {
+    apply(Ctx, config::onDigest(Ctx.S.Documents, From, m));
+  }
+  void operator()(const message::DocRequest &m) const {
+    apply(Ctx, config::onRequest(Ctx.S.Documents, From, m));
+  }
+  void operator()(const message::Submit &m) const {
+    apply(Ctx, record::onSubmit(Ctx.S.Records, From, m, Ctx.Time));
+  }
+  void operator()(const message::SubmitReply &m) const { onSubmitReply(Ctx, From, m); }
+  void operator()(const message::Mark &m) const {
+    apply(Ctx, record::onMark(Ctx.S.Records, From, m, Ctx.Time));
+  }
+  void operator()(const message::MarkReply &m) const {
+    apply(Ctx, record::onMarkReply(Ctx.S.Records, From, m, Ctx.Time));
+  }
+  void operator()(const message::Progress &m) const {
+    if (!record::onForwardedProgress(Ctx.S.Records, From, m, Ctx.Time))
+      apply(Ctx, record::onProgress(Ctx.S.Records, From, m, Ctx.Time));
+  }
+  void operator()(const message::Finish &m) const {
+    apply(Ctx, record::onFinish(Ctx.S.Records, From, m, Ctx.Time));
+  }
+  void operator()(const message::FinishReply &m) const { onFinishReply(Ctx, From, m); }
+  void operator()(const message::Close &m) const {
+    apply(Ctx, record::onClose(Ctx.S.Records, From, m, Ctx.Time));
+  }
+  void operator()(const message::CloseReply &m) const { onCloseReply(Ctx, From, m); }
+  void operator()(const message::Fetch &m) const {
+    apply(Ctx, record::onFetch(Ctx.S.Records, From, m, Ctx.Time));
+  }
+  void operator()(const message::Chunk &m) const { onChunk(Ctx, From, m); }
+  void operator()(const message::End &m) const { onEnd(Ctx, From, m); }
+  void operator()(const message::Handover &m) const {
+    if (Ctx.S.Leaving) {
+      sendTo(Ctx, From, message::HandoverReply{m.Record.Key, m.Record.Run, false});
+      return;
+    }
+    apply(Ctx, record::onHandover(Ctx.S.Records, From, m, Ctx.Time));
+  }
+  void operator()(const message::HandoverReply &m) const { onHandoverReply(Ctx, From, m); }
+  void operator()(const message::StandbyReady &m) const { onStandbyReady(Ctx, From, m); }
+  void operator()(const message::TableChunk &m) const {
+    apply(Ctx, record::onTableChunk(Ctx.S.Records, From, m, Ctx.Time));
+  }
+  void operator()(const message::TableAck &m) const {
+    apply(Ctx, record::onTableAck(Ctx.S.Records, From, m, Ctx.Time));
+  }
+  void operator()(const message::DemandReport &) const {}
+  void operator()(const message::ShareGrant &) const {}
+  void operator()(const message::CrashReport &) const {}
+  void operator()(const message::BackendNews &m) const {
+    routing::backendNews(Ctx.S.Routes, m, Ctx.Time);
+  }
+};
+
+void onBackendNotice(Context &ctx, const BackendNotice &notice) {
+  const auto left = notice.LeaveBy > ctx.Time.Wall
+                        ? std::chrono::duration_cast<Duration>(notice.LeaveBy - ctx.Time.Wall)
+                        : Duration(UnknownNotice);
+  const TimePoint deadline = ctx.Time.Steady + left;
+  routing::backendLeaving(ctx.S.Routes, notice.Backend, deadline, ctx.Time);
+  leaveBackend(ctx, notice.Backend, deadline);
+}
+
+void onBackendList(Context &ctx, const BackendList &list) {
+  routing::updateBackends(ctx.S.Routes, list.Backends, ctx.Time);
+  for (const routing::Backend &it : list.Backends)
+    if (it.State == routing::BackendState::Leaving)
+      leaveBackend(ctx, it.Name, it.Deadline);
+}
+
+void onNodeNotices(Context &ctx, const NodeNotices &notices) {
+  for (const membership::VmNotice &it : notices.Notices)
+    if (it.Leaving && it.Name == ctx.S.Self.Name && it.LeaveBy > ctx.Time.Wall)
+      onLeave(ctx, {it.LeaveBy});
+  apply(ctx, membership::applyVmNotices(ctx.S.Members, notices.Notices, ctx.Time));
+}
+
+void tickCalls(Context &ctx) {
+  std::vector<std::uint64_t> handles;
+  for (const auto &[handle, call] : ctx.S.Calls)
+    if (call.Mode != CallMode::Executing)
+      handles.push_back(handle);
+  for (const std::uint64_t handle : handles)
+    if (const auto it = ctx.S.Calls.find(handle); it != ctx.S.Calls.end())
+      tickCall(ctx, it->second);
+}
+
+void tickExecutions(Context &ctx) {
+  for (auto &[key, execution] : ctx.S.Executions)
+    tickExecution(ctx, execution);
+}
+
+void slowTick(Context &ctx) {
+  if (ctx.Time.Steady < ctx.S.NextSlowTick)
+    return;
+  ctx.S.NextSlowTick = ctx.Time.Steady + SlowTick;
+  apply(ctx, membership::tick(ctx.S.Members, ctx.Time, ctx.Rng));
+  apply(ctx, record::tick(ctx.S.Records, ctx.Time));
+  routing::tick(ctx.S.Routes, ctx.Time);
+  for (auto &[key, execution] : ctx.S.Executions)
+    followOwner(ctx, execution);
+  tickDocuments(ctx);
+  tickShards(ctx);
+  tickLeaving(ctx);
+}
+
+/// Events from outside the node, by type.
+struct EventDispatch {
+  Context &Ctx;
+
+  void operator()(const CallerRequest &e) const { onCallerRequest(Ctx, e); }
+  void operator()(const CallerFetch &e) const { onCallerFetch(Ctx, e); }
+  void operator()(const CallerGone &e) const { onCallerGone(Ctx, e); }
+  void operator()(const BackendHead &e) const { onBackendHead(Ctx, e); }
+  void operator()(const BackendBytes &e) const { onBackendBytes(Ctx, e); }
+  void operator()(const BackendEnd &e) const { onBackendEnd(Ctx, e); }
+  void operator()(const KvExported &e) const { onKvExported(Ctx, e); }
+  void operator()(const BackendLoad &e) const {
+    routing::loadReport(Ctx.S.Routes, {e.Backend, e.Age, e.Running, e.Queued}, Ctx.Time);
+  }
+  void operator()(const BackendList &e) const { onBackendList(Ctx, e); }
+  void operator()(const BackendNotice &e) const { onBackendNotice(Ctx, e); }
+  void operator()(const NodeNotices &e) const { onNodeNotices(Ctx, e); }
+  void operator()(const Document &e) const {
+    apply(Ctx, config::onUpdate(Ctx.S.Documents, {e.Name, e.Version, e.Body}, Ctx.Time));
+  }
+  void operator()(const ShardDuty &e) const { onShardDuty(Ctx, e); }
+  void operator()(const ShardMapWritten &e) const { onShardMapWritten(Ctx, e); }
+  void operator()(const Leave &e) const { onLeave(Ctx, e); }
+  void operator()(const PeerMessage &e) const {
+    std::visit(PeerDispatch{Ctx, e.From, e.Address}, e.What);
+  }
+  void operator()(const PeerUnreachable &) const {}
+  void operator()(const Tick &) const {
+    tickCalls(Ctx);
+    tickExecutions(Ctx);
+    slowTick(Ctx);
+  }
+};
+
+void handleLocal(Context &ctx) {
+  static const std::string noAddress;
+  while (!ctx.Local.empty()) {
+    const message::Message what = std::move(ctx.Local.front());
+    ctx.Local.pop_front();
+    std::visit(PeerDispatch{ctx, ctx.S.Self, noAddress}, what);
+  }
+}
+
+} // namespace
+} // namespace detail
+
+State makeState(message::MemberUpdate self, std::vector<std::string> seeds,
+                const PartOptions &options, const Now &now) {
+  State state;
+  state.Settings = options.Node;
+  state.Self = self.Id;
+  state.DataCentre = self.DataCentre;
+  state.Records.Self = self.Id;
+  state.Records.DataCentre = self.DataCentre;
+  state.Records.Settings = options.Record;
+  routing::Options routes = options.Routing;
+  routes.Node = self.Id.Name;
+  routes.DataCentre = self.DataCentre;
+  state.Routes = routing::makeState(std::move(routes));
+  state.Members = membership::start(std::move(self), std::move(seeds), options.Membership, now);
+  return state;
+}
+
+std::vector<Effect> handle(State &state, const Event &event, const Now &now, Random &rng) {
+  std::vector<Effect> out;
+  detail::Context ctx{state, now, rng, out, {}};
+  std::visit(detail::EventDispatch{ctx}, event);
+  detail::handleLocal(ctx);
+  return out;
+}
+
+bool isReady(const State &state) {
+  return state.Map.Version > 0 && !state.Contracts.empty() && !state.Routes.Index.empty();
+}
+
+std::vector<std::string> entryAddresses(const State &state, std::string_view caller) {
+  constexpr std::size_t limit = 9;
+  std::vector<std::string> addresses;
+  for (const membership::Member *it : membership::entryList(state.Members, caller, limit))
+    addresses.push_back(it->Info.CallerAddress);
+  return addresses;
+}
+
+} // namespace chervil::node
--- /dev/null
+++ b/packages/node/Reading.cpp
@@ -0,0 +1,81 @@
+#include "node/Context.h"
+
+namespace chervil::node::detail {
+
+namespace {
+
+Call *callOfReader(Context &ctx, const NodeId &from, std::uint64_t reader) {
+  const auto it = ctx.S.Readers.find(reader);
+  if (it == ctx.S.Readers.end())
+    return nullptr;
+  const auto call = ctx.S.Calls.find(it->second);
+  return call != ctx.S.Calls.end() && call->second.Source == from ? &call->second : nullptr;
+}
+
+void closeReader(Context &ctx, Call &call) {
+  ctx.S.Readers.erase(call.Reader);
+  call.Reader = 0;
+  call.NextTry = ctx.Time.Steady + ctx.S.Settings.RepeatDelay;
+}
+
+/// The record may be on its way to another holder.
+bool mayComeBack(ResultCode code) {
+  return code == ResultCode::HandedOver || code == ResultCode::RequestNotFound ||
+         code == ResultCode::StaleEpoch || code == ResultCode::NotReady;
+}
+
+} // namespace
+
+void startReading(Context &ctx, Call &call, const NodeId &source) {
+  if (call.Reader != 0)
+    ctx.S.Readers.erase(call.Reader);
+  if (call.Mode != CallMode::Reading) {
+    call.Mode = CallMode::Reading;
+    call.Deadline = ctx.Time.Steady + ctx.S.Settings.FetchTimeout;
+  }
+  NodeId to = source;
+  if (!isSet(to))
+    if (const auto holder = holderFor(ctx.S, call.Key, true, false))
+      to = holder->Node;
+  call.Reader = ctx.S.NextReader++;
+  call.Source = to;
+  ctx.S.Readers.emplace(call.Reader, call.Handle);
+  sendTo(ctx, to, message::Fetch{call.Key, call.Offset, call.Reader, false});
+}
+
+void onChunk(Context &ctx, const NodeId &from, const message::Chunk &chunk) {
+  Call *call = callOfReader(ctx, from, chunk.Reader);
+  if (call == nullptr)
+    return;
+  if (chunk.Offset > call->Offset) {
+    // A message was lost with its connection; the answer is read again from the caller's offset.
+    closeReader(ctx, *call);
+    startReading(ctx, *call, {});
+    return;
+  }
+  call->Deadline = ctx.Time.Steady + ctx.S.Settings.FetchTimeout;
+  deliver(ctx, *call, chunk.Offset, chunk.Bytes);
+}
+
+void onEnd(Context &ctx, const NodeId &from, const message::End &end) {
+  Call *call = callOfReader(ctx, from, end.Reader);
+  if (call == nullptr)
+    return;
+  if (end.Code == ResultCode::Ok) {
+    if (call->Offset != end.TotalSize) {
+      closeReader(ctx, *call);
+      startReading(ctx, *call, {});
+      return;
+    }
+    finishCall(ctx, *call, end.Status, end.ContentType, end.Tokens);
+    return;
+  }
+  if (mayComeBack(end.Code)) {
+    closeReader(ctx, *call);
+    call->RefuseCode = end.Code;
+    return;
+  }
+  refuseCall(ctx, *call, end.Code);
+}
+
+} // namespace chervil::node::detail
--- /dev/null
+++ b/packages/testing/NodeDriver.h
@@ -0,0 +1,202 @@
+// Drives the decision code of many nodes in one process: delivers their messages, plays the
+// key-value service, back ends and callers, and injects faults. Virtual time; no threads. Use:
+//   NodeDriver driver(options, seed);
+//   driver.runFor(3s);
+//   driver.call({.Key = "k1", .Repeatable = false});
+//   driver.crash(2);
+//   driver.runFor(20s);
+//   Report r = driver.report();
+#ifndef CHERVIL_TESTING_NODEDRIVER_H
+#define CHERVIL_TESTING_NODEDRIVER_H
+
+#include "node/Node.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chervil::testing {
+
+struct DriverOptions {
+  std::size_t Nodes = 5;
+  std::size_t DataCentres = 3;
+  std::size_t Backends = 3;
+  /// Share of peer messages that are lost, in percent.
+  unsigned LossPercent = 0;
+  std::chrono::milliseconds MaxDelay{5};
+  node::PartOptions Parts;
+};
+
+struct DriverRequest {
+  std::string Key;
+  bool Repeatable = true;
+  /// Length of a model answer.
+  unsigned Tokens = 20;
+  std::size_t Gateway = 0;
+};
+
+/// What the callers and the back ends saw.
+struct Report {
+  std::size_t Requests = 0;
+  std::size_t Whole = 0;
+  std::size_t Unknown = 0;
+  std::size_t NotRun = 0;
+  /// Callers that still wait, and those whose answer was wrong or delivered twice.
+  std::size_t Unanswered = 0;
+  std::size_t Wrong = 0;
+  /// Non-repeatable keys executed more than once.
+  std::size_t Doubled = 0;
+  /// Keys executed although every attempt was answered `not_run`.
+  std::size_t WrongNotRun = 0;
+  std::size_t LateToLeaving = 0;
+  std::vector<std::string> Violations;
+  /// One line per request without a whole answer: key, attempts and the last refusal.
+  std::vector<std::string> Details;
+};
+
+class NodeDriver {
+public:
+  NodeDriver(DriverOptions options, std::uint64_t seed);
+
+  void runFor(std::chrono::milliseconds time);
+  /// Starts a request; the caller follows moves, lost connections and not_run by itself.
+  void call(const DriverRequest &request);
+
+  void crash(std::size_t node);
+  /// Starts the node again with a new incarnation and without state.
+  void restart(std::size_t node);
+  /// Stops and continues the process of a node; its messages wait.
+  void pause(std::size_t node, std::chrono::milliseconds time);
+  /// Reclaim notice; the node crashes when the time is over.
+  void reclaim(std::size_t node, std::chrono::milliseconds notice);
+  void crashBackend(std::size_t backend);
+  void restoreBackend(std::size_t backend);
+  void reclaimBackend(std::size_t backend, std::chrono::milliseconds notice);
+  void outage(std::chrono::milliseconds time);
+  /// The next write of the key-value service takes effect, but its answer is lost.
+  void loseNextAnswer() { ++LostAnswers; }
+  /// Drops all messages between the node and the others.
+  void isolate(std::size_t node, std::chrono::milliseconds time);
+
+  bool isUp(std::size_t node) const { return Slots[node].Up; }
+  const node::State &state(std::size_t node) const { return *Slots[node].State; }
+  std::size_t mapWrites() const { return MapWrites; }
+  Report report() const;
+
+private:
+  struct Slot {
+    std::optional<node::State> State;
+    bool Up = false;
+    TimePoint PausedUntil{};
+    TimePoint IsolatedUntil{};
+    TimePoint CrashAt = TimePoint::max();
+    std::uint64_t Generation = 0;
+    bool BelievesDuty = false;
+  };
+
+  struct Backend {
+    bool Up = true;
+    std::optional<TimePoint> LeavingSince;
+    TimePoint GoneAt = TimePoint::max();
+    std::uint64_t Generation = 0;
+  };
+
+  struct Running {
+    std::size_t Node = 0;
+    std::uint64_t NodeGeneration = 0;
+    std::uint64_t Call = 0;
+    std::size_t Backend = 0;
+    std::uint64_t BackendGeneration = 0;
+    message::RequestSpec Spec;
+    std::string Key;
+    unsigned NextToken = 0;
+  };
+
+  struct Caller {
+    DriverRequest Request;
+    std::uint64_t Handle = 0;
+    std::size_t Gateway = 0;
+    std::uint64_t GatewayGeneration = 0;
+    std::uint32_t Attempt = 1;
+    std::string Text;
+    bool Fetching = false;
+    bool Done = false;
+    bool IsUnknown = false;
+    bool IsNotRun = false;
+    bool IsWrong = false;
+    unsigned Tries = 0;
+    ResultCode LastCode = ResultCode::Ok;
+  };
+
+  struct Item {
+    TimePoint At;
+    std::uint64_t Seq = 0;
+    std::size_t Node = 0;
+    std::uint64_t Generation = 0;
+    node::Event What;
+    bool operator>(const Item &other) const {
+      return std::tie(At, Seq) > std::tie(other.At, other.Seq);
+    }
+  };
+
+  void boot(std::size_t node);
+  void post(std::size_t node, node::Event event, std::chrono::milliseconds delay);
+  void step();
+  void runEvent(std::size_t node, const node::Event &event);
+  void carryOut(std::size_t node, node::Effect effect);
+  void sendPeer(std::size_t from, const node::SendPeer &send);
+  void writeMap(std::size_t node, const node::WriteShardMap &write);
+  void readMap(std::size_t node);
+  void serveDuty();
+  void startBackendCall(std::size_t node, const node::CallBackend &call);
+  void runBackends();
+  void publishBackends();
+  void endCall(const Running &it, node::BackendFailure failure);
+  void onBytes(std::size_t node, const node::Bytes &bytes);
+  void onRefuse(std::size_t node, const node::Refuse &refuse);
+  void sendRequest(Caller &caller);
+  void reconnectCallers();
+  Caller *callerOf(std::size_t node, std::uint64_t handle);
+  std::size_t pickNode();
+  Now now() const {
+    return {Clock, WallStart + std::chrono::duration_cast<std::chrono::milliseconds>(
+                                   Clock.time_since_epoch())};
+  }
+
+  DriverOptions Options;
+  Random Rng;
+  TimePoint Clock{std::chrono::seconds(1000)};
+  WallTime WallStart{std::chrono::milliseconds(1'764'000'000'000)};
+  std::uint64_t NextSeq = 1;
+  std::uint64_t NextHandle = 1;
+  std::vector<Slot> Slots;
+  std::vector<Backend> Backends;
+  std::priority_queue<Item, std::vector<Item>, std::greater<>> Queue;
+  std::vector<Running> Calls;
+  std::map<std::string, Caller> Callers;
+  std::map<std::string, unsigned> Executions;
+  std::set<std::string> NotRunKeys;
+  std::vector<std::string> Violations;
+  std::size_t LateToLeaving = 0;
+  /// The key-value service.
+  std::string MapBody;
+  std::uint64_t MapVersion = 0;
+  std::uint64_t MapRevision = 0;
+  std::optional<std::size_t> DutyHolder;
+  TimePoint LeaseUntil{};
+  TimePoint OutageUntil{};
+  unsigned LostAnswers = 0;
+  std::size_t MapWrites = 0;
+  TimePoint NextDuty{};
+};
+
+/// Text of a whole answer.
+std::string expectedText(const std::string &key, unsigned tokens);
+
+} // namespace chervil::testing
+
+#endif
