--- /dev/null
+++ b/packages/config/Store.cpp
@@ -0,0 +1,150 @@
+#include "config/Store.h"
+
+#include "base/Hash.h"
+#include "contract/JsonReader.h"
+
+#include <algorithm>
+#include <iterator>
+#include <limits>
+#include <utility>
+
+namespace chervil::config {
+namespace {
+
+std::uint64_t hashOf(const std::string &name, std::uint64_t version) {
+  return hashBytes(name, version);
+}
+
+// False once the budget is spent; the first document is always sent.
+bool send(Effects &effects, const NodeId &to, const std::string &name, const Document &document,
+          std::size_t &budget) {
+  const std::size_t size = name.size() + document.Body.size();
+  if (size > budget && budget != AnswerBudget)
+    return false;
+  effects.Sends.push_back({to, message::DocUpdate{name, document.Version, document.Body}});
+  budget -= std::min(size, budget);
+  return true;
+}
+
+Duration sinceDigest(const Store &store, const Now &now) {
+  return store.LastDigest ? now.Steady - *store.LastDigest : Duration::max();
+}
+
+void sendDigest(Store &store, const NodeId &to, const Now &now, Effects &effects) {
+  store.LastDigest = now.Steady;
+  message::DocDigest digest;
+  digest.Versions.reserve(store.Documents.size());
+  for (const auto &[name, document] : store.Documents)
+    digest.Versions.push_back({name, document.Version});
+  effects.Sends.push_back({to, std::move(digest)});
+}
+
+} // namespace
+
+std::optional<Applied> apply(Store &store, const message::DocUpdate &update, const Now &now) {
+  if (update.Version == 0 || update.Name.empty())
+    return std::nullopt;
+  Document &document = store.Documents[update.Name];
+  if (update.Version <= document.Version)
+    return std::nullopt;
+  const Applied applied{update.Name, document.Version, update.Version};
+  if (document.Version != 0)
+    store.Hash ^= hashOf(update.Name, document.Version);
+  store.Hash ^= hashOf(update.Name, update.Version);
+  document = {update.Version, update.Body};
+  if (std::ranges::find(store.Fresh, update.Name) == store.Fresh.end())
+    store.Fresh.push_back(update.Name);
+  store.LastChange = now.Steady;
+  return applied;
+}
+
+const Document *find(const Store &store, const std::string &name) {
+  const auto it = store.Documents.find(name);
+  return it == store.Documents.end() ? nullptr : &it->second;
+}
+
+Effects onUpdate(Store &store, const message::DocUpdate &update, const Now &now) {
+  Effects effects;
+  if (auto applied = apply(store, update, now))
+    effects.Changes.push_back(*std::move(applied));
+  return effects;
+}
+
+Effects onDigest(const Store &store, const NodeId &from, const message::DocDigest &digest) {
+  Effects effects;
+  std::map<std::string_view, std::uint64_t> theirs;
+  message::DocRequest request;
+  for (const message::DocVersion &it : digest.Versions) {
+    theirs[it.Name] = it.Version;
+    const Document *mine = find(store, it.Name);
+    if (mine == nullptr || mine->Version < it.Version)
+      request.Names.push_back(it.Name);
+  }
+  if (!request.Names.empty())
+    effects.Sends.push_back({from, std::move(request)});
+  std::size_t budget = AnswerBudget;
+  for (const auto &[name, document] : store.Documents) {
+    const auto it = theirs.find(name);
+    const std::uint64_t version = it == theirs.end() ? 0 : it->second;
+    if (version < document.Version && !send(effects, from, name, document, budget))
+      break;
+  }
+  return effects;
+}
+
+Effects onRequest(const Store &store, const NodeId &from, const message::DocRequest &request) {
+  Effects effects;
+  std::size_t budget = AnswerBudget;
+  for (const std::string &name : request.Names) {
+    const Document *document = find(store, name);
+    if (document != nullptr && !send(effects, from, name, *document, budget))
+      break;
+  }
+  return effects;
+}
+
+Effects onPeerHash(Store &store, const NodeId &from, std::uint64_t hash, const Now &now) {
+  Effects effects;
+  if (hash == store.Hash)
+    store.Pending.reset();
+  else if (!store.Documents.empty() && !store.Pending)
+    store.Pending = Mismatch{from, hash, now.Steady};
+  else if (store.Documents.empty() && sinceDigest(store, now) >= DigestInterval)
+    sendDigest(store, from, now, effects);
+  return effects;
+}
+
+Effects spread(Store &store, std::span<const NodeId> members, Random &rng, const Now &now) {
+  Effects effects;
+  for (const std::string &name : store.Fresh) {
+    const Document &document = store.Documents.at(name);
+    std::vector<NodeId> chosen;
+    std::ranges::sample(members, std::back_inserter(chosen), SpreadFanout, rng);
+    for (NodeId &it : chosen)
+      effects.Sends.push_back(
+          {std::move(it), message::DocUpdate{name, document.Version, document.Body}});
+  }
+  store.Fresh.clear();
+  if (!store.Pending || now.Steady - store.Pending->Since < QuietTime)
+    return effects;
+  const Mismatch pending = *std::exchange(store.Pending, std::nullopt);
+  const bool quiet = !store.LastChange || *store.LastChange <= pending.Since;
+  const Duration least = quiet ? DigestInterval : MaxDigestDelay;
+  if (pending.Hash != store.Hash && sinceDigest(store, now) >= least)
+    sendDigest(store, pending.Peer, now, effects);
+  return effects;
+}
+
+Result<message::DocUpdate> makeUpdate(std::string name, std::string body) {
+  const auto value = detail::parseObject(body);
+  if (!value)
+    return tl::make_unexpected(value.error());
+  detail::JsonReader reader;
+  const std::uint64_t version = detail::readInteger(
+      reader, *value, "", "version", {1, std::numeric_limits<std::int64_t>::max()}, std::nullopt);
+  if (!reader.Faults.empty())
+    return fail(ResultCode::BadContract, name + ": " + reader.Faults.front());
+  return message::DocUpdate{std::move(name), version, std::move(body)};
+}
+
+} // namespace chervil::config
