Test and measure routing with many nodes and modelled engines

Change: unit and property tests of routing; a simulation of 7 nodes and 12 engines with late reports and cache events; routing_bench.

--- /dev/null
+++ b/packages/routing/FleetSimulation.cpp
@@ -0,0 +1,312 @@
+#include "routing/FleetSimulation.h"
+
+#include "routing/Routing.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <optional>
+
+namespace chervil::routing {
+namespace {
+
+using testing::EngineEvent;
+using testing::EngineModel;
+using testing::EngineOutput;
+using testing::EngineWork;
+using namespace std::chrono_literals;
+
+constexpr Duration Step = 1ms;
+const TimePoint Start(1000s);
+
+/// One run of a request on an engine; a hedge is a second run.
+struct Run {
+  std::size_t Request = 0;
+  std::uint32_t Engine = 0;
+  std::uint32_t Node = 0;
+  bool Hedge = false;
+  std::uint32_t Tokens = 0;
+};
+
+struct Progress {
+  bool Done = false;
+  bool First = false;
+  std::uint32_t Tokens = 0;
+  std::uint32_t Cached = 0;
+  Duration FirstToken{0};
+  /// Ids of the first run and the hedge; 0 is none.
+  std::uint64_t Main = 0;
+  std::uint64_t Hedge = 0;
+};
+
+struct Simulation {
+  const SimulationSetup &Setup;
+  const std::vector<Arrival> &Arrivals;
+  std::vector<EngineModel> Engines;
+  std::vector<State> Nodes;
+  std::vector<std::uint32_t> Reported;
+  std::vector<std::uint32_t> Turn;
+  std::vector<std::deque<std::size_t>> Held;
+
+  std::vector<Progress> Requests;
+
+  std::unordered_map<std::uint64_t, Run> Runs;
+  std::uint64_t NextId = 1;
+  std::size_t Open = 0;
+  SimulationResult Result;
+  Random Rng;
+};
+
+Now nowAt(TimePoint t) {
+  return {t, WallTime(std::chrono::duration_cast<std::chrono::milliseconds>(t.time_since_epoch()))};
+}
+
+std::string nameOf(std::uint32_t engine) { return "e" + std::to_string(engine); }
+
+std::vector<Backend> backends(const SimulationSetup &setup) {
+  std::vector<Backend> list;
+  for (std::uint32_t i = 0; i < setup.Engines; ++i) {
+    Backend b;
+    b.Name = nameOf(i);
+    b.Targets = {"redactor"};
+    b.Slots = setup.Spec.Slots;
+    list.push_back(b);
+  }
+  return list;
+}
+
+void send(Simulation &s, std::size_t request, std::uint32_t engine, std::uint8_t priority,
+          bool isHedge, TimePoint now) {
+  const Arrival &a = s.Arrivals[request];
+  const std::uint64_t id = s.NextId++;
+  Progress &p = s.Requests[request];
+  (isHedge ? p.Hedge : p.Main) = id;
+  s.Runs[id] = {request, engine, a.Node, isHedge, 0};
+  EngineWork w;
+  w.Id = id;
+  w.Priority = priority;
+  w.PrefixHashes = a.Work.PrefixHashes;
+  w.PromptTokens = a.Work.PromptTokens;
+  w.OutputTokens = a.Output;
+  w.Generated = isHedge ? std::min(p.Tokens, a.Output - 1) : 0;
+  submit(s.Engines[engine], w, now);
+  if (s.Setup.Choice == Policy::Routing || s.Setup.Choice == Policy::KnownCaches)
+    requestStarted(s.Nodes[a.Node], id, a.Work, nameOf(engine), nowAt(now));
+}
+
+std::uint32_t engineOf(const std::string &name) {
+  return static_cast<std::uint32_t>(std::stoul(name.substr(1)));
+}
+
+/// False if the request has to be kept.
+bool dispatch(Simulation &s, std::size_t request, TimePoint now) {
+  const Arrival &a = s.Arrivals[request];
+  const auto n = s.Setup.Engines;
+  if (s.Setup.Choice == Policy::RoundRobin) {
+    send(s, request, s.Turn[a.Node]++ % n, 0, false, now);
+    return true;
+  }
+  if (s.Setup.Choice == Policy::LeastReported) {
+    const auto least = *std::ranges::min_element(s.Reported);
+    std::vector<std::uint32_t> best;
+    for (std::uint32_t i = 0; i < n; ++i)
+      if (s.Reported[i] == least)
+        best.push_back(i);
+    send(s, request, best[s.Rng() % best.size()], a.Work.Priority, false, now);
+    return true;
+  }
+  const ChoiceResult c = choose(s.Nodes[a.Node], a.Work, nowAt(now), s.Rng);
+  if (!c || c->Wait > Duration{0})
+    return false;
+  send(s, request, engineOf(c->Backend), c->EnginePriority, false, now);
+  return true;
+}
+
+bool routes(const Simulation &s) {
+  return s.Setup.Choice == Policy::Routing || s.Setup.Choice == Policy::KnownCaches;
+}
+
+void endRun(Simulation &s, std::uint64_t id, bool finished, TimePoint now) {
+  const auto it = s.Runs.find(id);
+  if (it == s.Runs.end())
+    return;
+  if (routes(s)) {
+    State &node = s.Nodes[it->second.Node];
+    if (finished)
+      requestFinished(node, id, nowAt(now));
+    else
+      requestFailed(node, id, Failure::Cancelled, nowAt(now));
+  }
+  if (!finished)
+    cancel(s.Engines[it->second.Engine], id);
+  s.Runs.erase(it);
+}
+
+void take(Simulation &s, const EngineEvent &event) {
+  const auto it = s.Runs.find(event.Id);
+  if (it == s.Runs.end())
+    return;
+  const Run run = it->second;
+  Progress &p = s.Requests[run.Request];
+  const Arrival &a = s.Arrivals[run.Request];
+  if (event.What == EngineEvent::Kind::Finished) {
+    const std::uint64_t other = run.Hedge ? p.Main : p.Hedge;
+    endRun(s, event.Id, true, event.At);
+    endRun(s, other, false, event.At);
+    if (!p.Done) {
+      p.Done = true;
+      --s.Open;
+      s.Result.Requests.push_back(
+          {&a, p.FirstToken, event.At - Start - a.At, p.Cached, run.Engine});
+    }
+    return;
+  }
+  ++it->second.Tokens;
+  if (routes(s))
+    requestTokens(s.Nodes[run.Node], event.Id, 1, nowAt(event.At));
+  if (!p.First) {
+    p.First = true;
+    p.FirstToken = event.At - Start - a.At;
+    p.Cached = event.CachedTokens;
+  }
+  p.Tokens = std::max(p.Tokens, it->second.Tokens);
+  // The first token of the hedge decides: the slower run ends.
+  if (run.Hedge && p.Main != 0) {
+    if (const auto main = s.Runs.find(p.Main); main != s.Runs.end())
+      endRun(s, p.Main, false, event.At);
+    p.Main = 0;
+  }
+}
+
+void deliver(Simulation &s, std::uint32_t engine, const EngineOutput &out, TimePoint now) {
+  for (const EngineEvent &event : out.Events)
+    take(s, event);
+  for (const auto &report : out.Reports) {
+    s.Reported[engine] = report.Running + report.Queued;
+    for (State &node : s.Nodes)
+      loadReport(node, {nameOf(engine), now - report.Taken, report.Running, report.Queued},
+                 nowAt(now));
+  }
+  for (const auto &event : out.CacheEvents)
+    for (State &node : s.Nodes)
+      if (!cacheEvent(node, {nameOf(engine), event.Seq, false, event.Added, event.Removed},
+                      nowAt(now))) {
+        // A snapshot is older than the requests just sent: it is delivered at once here.
+        const auto snapshot = cacheSnapshot(s.Engines[engine]);
+        State &state = node;
+        cacheEvent(state, {nameOf(engine), event.Seq + 1, true, snapshot.Added, {}}, nowAt(now));
+        state.Seen[state.Index.at(nameOf(engine))].CacheSeq = snapshot.Seq;
+      }
+}
+
+void exchangeNews(Simulation &s, TimePoint now) {
+  for (std::size_t from = 0; from < s.Nodes.size(); ++from)
+    for (const auto &news : takeNews(s.Nodes[from], nowAt(now)))
+      for (std::size_t to = 0; to < s.Nodes.size(); ++to)
+        if (to != from)
+          backendNews(s.Nodes[to], news, nowAt(now));
+}
+
+void startHedges(Simulation &s, TimePoint now) {
+  std::vector<std::uint64_t> ids;
+  for (const auto &[id, run] : s.Runs)
+    if (!run.Hedge && s.Requests[run.Request].Hedge == 0)
+      ids.push_back(id);
+  std::ranges::sort(ids);
+  for (const std::uint64_t id : ids) {
+    const Run run = s.Runs.at(id);
+    const auto c = hedge(s.Nodes[run.Node], id, nowAt(now), s.Rng);
+    if (!c)
+      continue;
+    ++s.Result.Hedges;
+    s.Result.HedgesOfNonRepeatable += s.Arrivals[run.Request].Work.Repeatable ? 0 : 1;
+    send(s, run.Request, engineOf(c->Backend), c->EnginePriority, true, now);
+  }
+}
+
+void setSlowness(Simulation &s, TimePoint now) {
+  for (EngineModel &e : s.Engines)
+    e.SlowFactor = 1;
+  for (const Slowdown &it : s.Setup.Slowdowns)
+    if (now - Start >= it.From && now - Start < it.Until)
+      s.Engines[it.Engine].SlowFactor = it.Factor;
+}
+
+void knowCaches(Simulation &s) {
+  for (State &node : s.Nodes)
+    for (std::uint32_t i = 0; i < s.Setup.Engines; ++i) {
+      const std::uint32_t at = node.Index.at(nameOf(i));
+      removeBackend(node.Prefixes, at);
+      for (const std::uint64_t hash : s.Engines[i].Recent)
+        addBlock(node.Prefixes, hash, at);
+    }
+}
+
+} // namespace
+
+SimulationResult simulate(const SimulationSetup &setup, const std::vector<Arrival> &arrivals,
+                          Duration limit) {
+  Simulation s{setup, arrivals,          {}, {}, {}, {}, {}, {}, {}, 1, arrivals.size(),
+               {},    Random(setup.Seed)};
+  s.Engines.assign(setup.Engines, makeEngine(setup.Spec, Start));
+  for (std::uint32_t i = 0; i < setup.Nodes; ++i) {
+    Options o = setup.Options;
+    o.Node = "n" + std::to_string(i);
+    s.Nodes.push_back(makeState(o));
+    updateBackends(s.Nodes.back(), backends(setup), nowAt(Start));
+  }
+  s.Reported.assign(setup.Engines, 0);
+  s.Turn.assign(setup.Nodes, 0);
+  s.Held.resize(setup.Nodes);
+  s.Requests.resize(arrivals.size());
+  std::size_t next = 0;
+  TimePoint now = Start;
+  EngineOutput out;
+  for (std::int64_t tickCount = 0; s.Open > 0 && now - Start < limit; ++tickCount, now += Step) {
+    setSlowness(s, now);
+    for (std::uint32_t i = 0; i < setup.Engines; ++i) {
+      out.Events.clear();
+      out.Reports.clear();
+      out.CacheEvents.clear();
+      advance(s.Engines[i], now, s.Rng, out);
+      deliver(s, i, out, now);
+    }
+    // Only a simulation can know every cache at every moment.
+    if (setup.Choice == Policy::KnownCaches && tickCount % 20 == 0)
+      knowCaches(s);
+    for (; next < arrivals.size() && arrivals[next].At <= now - Start; ++next)
+      if (!dispatch(s, next, now))
+        s.Held[arrivals[next].Node].push_back(next);
+    if (tickCount % 10 == 0)
+      for (auto &held : s.Held)
+        while (!held.empty() && dispatch(s, held.front(), now))
+          held.pop_front();
+    if (tickCount % 100 == 0 && routes(s)) {
+      for (State &node : s.Nodes)
+        tick(node, nowAt(now));
+      exchangeNews(s, now);
+      if (setup.Hedging)
+        startHedges(s, now);
+    }
+  }
+  for (const Arrival &a : arrivals) {
+    s.Result.Tokens += a.Output;
+    s.Result.PromptTokens += a.Work.PromptTokens;
+  }
+  for (const EngineModel &e : s.Engines) {
+    s.Result.EngineTokens += e.TokensGenerated;
+    s.Result.EnginePrompt += e.PromptTokensRead;
+  }
+  s.Result.Seconds = std::chrono::duration<double>(now - Start).count();
+  return s.Result;
+}
+
+double quantile(std::vector<double> values, double q) {
+  if (values.empty())
+    return 0;
+  std::ranges::sort(values);
+  const auto at = static_cast<std::size_t>(std::ceil(q * static_cast<double>(values.size())));
+  return values[std::min(values.size() - 1, at > 0 ? at - 1 : 0)];
+}
+
+} // namespace chervil::routing
--- a/packages/routing/Options.h
+++ b/packages/routing/Options.h
@@ -42,7 +42,7 @@
   /// Growth of the time per token with each stream in the batch.
   double BatchGrowth = 0.02;
   /// Prompt tokens per second of one engine.
-  double PrefillRate = 8000;
+  double PrefillRate = 16000;
   /// Expected tokens of work of which nothing is known.
   double DefaultTokens = 200;
 
