--- a/packages/net/HttpClient.cpp
+++ b/packages/net/HttpClient.cpp
@@ -232,8 +232,11 @@
   }
   // An Expect header would add a round trip to every larger request.
   t.HeaderList = curl_slist_append(nullptr, "Expect:");
-  for (const auto &[name, value] : call.Headers)
-    t.HeaderList = curl_slist_append(t.HeaderList, (name + ": " + value).c_str());
+  for (const auto &[name, value] : call.Headers) {
+    std::string line = name;
+    line.append(": ").append(value);
+    t.HeaderList = curl_slist_append(t.HeaderList, line.c_str());
+  }
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, t.HeaderList);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, readHeader);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, &t);
