--- a/packages/testing/standin/PlatformServerTest.cpp
+++ b/packages/testing/standin/PlatformServerTest.cpp
@@ -1,5 +1,5 @@
 #include "testing/standin/PlatformServer.h"
-#include "net/HttpClient.h"
+#include "testing/standin/HttpFixture.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -9,46 +9,11 @@
 
 namespace {
 
-struct Answer {
-  net::HttpEnd End;
-  Json Body;
-};
-
-struct Fixture {
-  net::Loop EventLoop;
-  net::TimerService Timers{EventLoop};
+struct Fixture : HttpFixture {
   std::unique_ptr<PlatformServer> Platform = std::move(*startPlatform(
       EventLoop, {.BootTime = 0s, .WeightRate = 1e6, .WeightBytes = 1e5, .WeightWaiting = 1}));
-  net::HttpClientPtr Client = net::makeHttpClient(EventLoop, {});
-  std::string Url = "http://127.0.0.1:" + std::to_string(net::port(*Platform->Http));
-
-  void start(const std::string &method, const std::string &path, std::string body,
-             std::function<void(Answer)> done) {
-    auto bytes = std::make_shared<std::string>();
-    // A new connection per call: libcurl would repeat a write whose answer is lost.
-    net::startCall(*Client,
-                   {.Method = method,
-                    .Url = Url + path,
-                    .Headers = {},
-                    .Body = std::move(body),
-                    .ReuseConnection = false},
-                   {.OnHead = {},
-                    .OnData = [bytes](std::string_view it) { *bytes += it; },
-                    .OnEnd =
-                        [bytes, done = std::move(done)](const net::HttpEnd &end) {
-                          done({end, Json::parse(*bytes, nullptr, false)});
-                        }});
-  }
 
-  Answer call(const std::string &method, const std::string &path, std::string body = {}) {
-    Answer result;
-    start(method, path, std::move(body), [&](Answer it) {
-      result = std::move(it);
-      net::stop(EventLoop);
-    });
-    net::run(EventLoop);
-    return result;
-  }
+  Fixture() { Url = "http://127.0.0.1:" + std::to_string(net::port(*Platform->Http)); }
 };
 
 } // namespace
@@ -89,9 +54,9 @@
 // Guards against a watch that does not wake on a write or on the end of a lease.
 BOOST_FIXTURE_TEST_CASE(WatchWakesOnWritesAndLeaseEnds, Fixture) {
   std::vector<Json> events;
-  start("GET", "/v1/watch?prefix=duty/&after=0&wait_ms=5000", {}, [&](Answer a) {
+  start("GET", "/v1/watch?prefix=duty/&after=0&wait_ms=5000", {}, [&](const Answer &a) {
     events.push_back(a.Body.at("events"));
-    start("GET", "/v1/watch?prefix=duty/&after=1&wait_ms=5000", {}, [&](Answer b) {
+    start("GET", "/v1/watch?prefix=duty/&after=1&wait_ms=5000", {}, [&](const Answer &b) {
       events.push_back(b.Body.at("events"));
       net::stop(EventLoop);
     });
