Add wire: message codec and framing, and the peer transport in net

Change: package wire encodes every message as a msgpack array driven by one list of members per struct, which a static assertion compares with the struct's member count. Declared array sizes are checked against the payload before anything is allocated. FrameReader splits the byte stream. PeerTransport (in net, which may use wire) opens one connection per direction on demand, with Hello and an HMAC-SHA256 proof over both Hello frames and the role. The fuzz preset builds wire_FuzzFrames.

--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -38,3 +38,15 @@
   add_compile_options(-fsanitize=fuzzer-no-link,address,undefined)
   add_link_options(-fsanitize=address,undefined)
 endif()
+
+# chervil_fuzz_target(PACKAGE NAME SOURCE)
+#
+# Defines the libFuzzer program PACKAGE_NAME when CHERVIL_FUZZ is on.
+function(chervil_fuzz_target package name source)
+  if(NOT CHERVIL_FUZZ)
+    return()
+  endif()
+  add_executable(${package}_${name} ${source})
+  target_link_libraries(${package}_${name} PRIVATE chervil_${package} chervil_warnings)
+  target_link_options(${package}_${name} PRIVATE -fsanitize=fuzzer)
+endfunction()
--- /dev/null
+++ b/packages/wire/MessageGen.h
@@ -0,0 +1,93 @@
+// RapidCheck generators and comparison for all messages, driven by the field lists. Tests only.
+// Use:
+//   const message::Message m = *genMessage();
+//   RC_ASSERT(same(m, other));
+#ifndef CHERVIL_WIRE_MESSAGEGEN_H
+#define CHERVIL_WIRE_MESSAGEGEN_H
+
+#include "wire/detail/Pack.h"
+
+#include <rapidcheck.h>
+
+namespace chervil::wire {
+
+/// Fills `v` with arbitrary values that can be encoded.
+template <typename T> void fill(T &v) {
+  if constexpr (std::same_as<T, std::string>) {
+    v = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
+  } else if constexpr (std::same_as<T, bool>) {
+    v = *rc::gen::arbitrary<bool>();
+  } else if constexpr (std::same_as<T, double>) {
+    v = *rc::gen::suchThat(rc::gen::arbitrary<double>(), [](double d) { return std::isfinite(d); });
+  } else if constexpr (std::is_enum_v<T>) {
+    v = static_cast<T>(*rc::gen::inRange<std::uint64_t>(0, detail::maxOf<T>() + 1));
+  } else if constexpr (std::unsigned_integral<T>) {
+    // Values from the whole range are as likely as small ones, so that each msgpack width occurs.
+    v = *rc::gen::oneOf(
+        rc::gen::arbitrary<T>(),
+        rc::gen::map(rc::gen::noShrink(rc::gen::arbitrary<std::uint64_t>()),
+                     [](std::uint64_t n) { return static_cast<T>(n * 0x9e3779b9U); }),
+        rc::gen::just(std::numeric_limits<T>::max()));
+  } else if constexpr (std::same_as<T, WallTime> || std::same_as<T, std::chrono::milliseconds>) {
+    v = T(
+        std::chrono::milliseconds(*rc::gen::inRange<std::int64_t>(0, detail::MaxMilliseconds + 1)));
+  } else if constexpr (detail::IsVector<T>) {
+    v.resize(*rc::gen::inRange<std::size_t>(0, 5));
+    for (auto &it : v)
+      fill(it);
+  } else {
+    std::apply([](auto &...member) { (fill(member), ...); }, detail::fields(v));
+  }
+}
+
+/// Compares member by member.
+template <typename T> bool same(const T &a, const T &b) {
+  if constexpr (detail::IsVector<T>) {
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [](const auto &x, const auto &y) { return same(x, y); });
+  } else if constexpr (detail::Struct<const T>) {
+    const auto x = detail::fields(a);
+    const auto y = detail::fields(b);
+    return [&]<std::size_t... I>(std::index_sequence<I...>) {
+      return (same(std::get<I>(x), std::get<I>(y)) && ...);
+    }
+    (std::make_index_sequence<std::tuple_size_v<decltype(x)>>());
+  } else {
+    return a == b;
+  }
+}
+
+inline bool same(const message::Message &a, const message::Message &b) {
+  return a.index() == b.index() &&
+         std::visit(
+             [&](const auto &it) { return same(it, std::get<std::decay_t<decltype(it)>>(b)); }, a);
+}
+
+template <std::size_t I = 0> message::Message messageOfType(std::size_t type) {
+  if constexpr (I < std::variant_size_v<message::Message>) {
+    if (type != I)
+      return messageOfType<I + 1>(type);
+    message::Message m(std::in_place_index<I>);
+    fill(std::get<I>(m));
+    return m;
+  }
+  throw std::out_of_range("message type");
+}
+
+/// Any message of any type.
+inline rc::Gen<message::Message> genMessage() {
+  return rc::gen::exec([] {
+    return messageOfType(*rc::gen::inRange<std::size_t>(0, std::variant_size_v<message::Message>));
+  });
+}
+
+} // namespace chervil::wire
+
+namespace rc {
+/// Shown when a property fails: the encoded frame.
+inline void showValue(const chervil::message::Message &m, std::ostream &out) {
+  out << "message type " << m.index() << ", " << chervil::wire::encode(m).size() << " bytes";
+}
+} // namespace rc
+
+#endif
