Encode the new fields of request messages; handle failed peer connections

Cause: the codec was written against earlier message fields, and messages queued on a failed connection are lost. Change: field lists follow the messages; a node registers its executions again and repeats its reads after a failed connection.

--- a/packages/node/Execute.cpp
+++ b/packages/node/Execute.cpp
@@ -14,8 +14,7 @@
 // Fail over to another back end at once the first time; then back off up to a second.
 constexpr std::chrono::milliseconds MinBackoff = 50ms;
 constexpr std::chrono::milliseconds MaxBackoff = 1000ms;
-// A stream that has been quiet for this long at the engine counts as failed; engines send a token
-// at least every second even under full load.
+// After this many failed back ends the request is refused instead of trying yet another.
 constexpr std::uint32_t MaxFailures = 12;
 
 routing::WorkRequest workOf(const Execution &execution) {
@@ -368,6 +367,10 @@
 
 void tickExecution(Context &ctx, Execution &execution) {
   const TimePoint now = ctx.Time.Steady;
+  if (execution.RegisterDue != TimePoint{} && now >= execution.RegisterDue) {
+    execution.RegisterDue = {};
+    registerExecution(ctx, execution);
+  }
   switch (execution.Phase) {
   case ExecutionPhase::Choosing:
     if (now >= execution.NextTry)
--- a/packages/node/Execution.h
+++ b/packages/node/Execution.h
@@ -50,6 +50,8 @@
   message::Copies Where = message::Copies::Owner;
   std::uint64_t Reported = 0;
   TimePoint ReportDue{};
+  /// When the execution is registered again after a failed connection; the epoch for never.
+  TimePoint RegisterDue{};
   /// Repetition of an unanswered Finish, Close or Submit.
   TimePoint RepeatDue{};
   /// The peer that was asked to take over, while the node leaves.
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -117,6 +117,25 @@
   apply(ctx, membership::applyVmNotices(ctx.S.Members, notices.Notices, ctx.Time));
 }
 
+/// Messages on the failed connection may be lost: what the peer holds of the executions is sent
+/// again, and answers are read again from the caller's offset.
+void onPeerUnreachable(Context &ctx, const std::string &address) {
+  count(ctx, "retry", "peer_unreachable");
+  const auto isAt = [&](const NodeId &id) {
+    const membership::Member *member = membership::find(ctx.S.Members, id);
+    return member != nullptr && member->Info.PeerAddress == address;
+  };
+  for (auto &[key, execution] : ctx.S.Executions)
+    if (isAt(execution.Holder))
+      execution.RegisterDue = ctx.Time.Steady + ctx.S.Settings.RepeatDelay;
+  for (auto &[handle, call] : ctx.S.Calls)
+    if (call.Mode == CallMode::Reading && call.Reader != 0 && isAt(call.Source)) {
+      ctx.S.Readers.erase(call.Reader);
+      call.Reader = 0;
+      call.NextTry = ctx.Time.Steady + ctx.S.Settings.RepeatDelay;
+    }
+}
+
 void tickCalls(Context &ctx) {
   std::vector<std::uint64_t> handles;
   for (const auto &[handle, call] : ctx.S.Calls)
@@ -172,7 +191,7 @@
   void operator()(const PeerMessage &e) const {
     std::visit(PeerDispatch{Ctx, e.From, e.Address}, e.What);
   }
-  void operator()(const PeerUnreachable &) const {}
+  void operator()(const PeerUnreachable &e) const { onPeerUnreachable(Ctx, e.Address); }
   void operator()(const Tick &) const {
     tickCalls(Ctx);
     tickExecutions(Ctx);
--- a/packages/wire/detail/Fields.h
+++ b/packages/wire/detail/Fields.h
@@ -30,7 +30,7 @@
 }
 template <Is<message::RequestSpec> M> auto fields(M &m) {
   return std::tie(m.Kind, m.Target, m.Method, m.Path, m.ContentType, m.Body, m.Stream, m.Repeatable,
-                  m.Priority, m.MaxTokens);
+                  m.Priority, m.MaxTokens, m.Timeout, m.Hint);
 }
 template <Is<message::RecordCopy> M> auto fields(M &m) {
   return std::tie(m.Key, m.BodyHash, m.Attempt, m.Run, m.State, m.Executor, m.Spec, m.Code,
@@ -43,6 +43,9 @@
 template <Is<message::Share> M> auto fields(M &m) {
   return std::tie(m.Customer, m.RequestsPerSecond, m.TokensPerSecond, m.Streams, m.Lifetime);
 }
+template <Is<message::MarkCopy> M> auto fields(M &m) {
+  return std::tie(m.KeyHash, m.KeyCheck, m.BodyHash, m.Attempt, m.Run, m.State, m.Age);
+}
 template <Is<message::ShardEpoch> M> auto fields(M &m) { return std::tie(m.Shard, m.Epoch); }
 
 template <Is<message::Ping> M> auto fields(M &m) { return std::tie(m.Seq, m.Updates, m.DocsHash); }
@@ -58,10 +61,10 @@
 template <Is<message::DocDigest> M> auto fields(M &m) { return std::tie(m.Versions); }
 template <Is<message::DocRequest> M> auto fields(M &m) { return std::tie(m.Names); }
 template <Is<message::Submit> M> auto fields(M &m) {
-  return std::tie(m.Record, m.Epoch, m.Executing);
+  return std::tie(m.Record, m.Epoch, m.Executing, m.Fallback, m.DataCentre);
 }
 template <Is<message::SubmitReply> M> auto fields(M &m) {
-  return std::tie(m.Key, m.Attempt, m.Decision, m.Code, m.Run, m.NextAttempt);
+  return std::tie(m.Key, m.Attempt, m.Decision, m.Code, m.Run, m.NextAttempt, m.Where);
 }
 template <Is<message::Mark> M> auto fields(M &m) {
   return std::tie(m.Shard, m.Epoch, m.Seq, m.Record);
@@ -95,10 +98,10 @@
 }
 template <Is<message::StandbyReady> M> auto fields(M &m) { return std::tie(m.Shards); }
 template <Is<message::TableChunk> M> auto fields(M &m) {
-  return std::tie(m.Shard, m.Epoch, m.Index, m.Last, m.Records);
+  return std::tie(m.Shard, m.Epoch, m.Index, m.Last, m.Records, m.Marks);
 }
 template <Is<message::TableAck> M> auto fields(M &m) {
-  return std::tie(m.Shard, m.Epoch, m.Complete);
+  return std::tie(m.Shard, m.Epoch, m.Index, m.Stored);
 }
 template <Is<message::DemandReport> M> auto fields(M &m) { return std::tie(m.Demands); }
 template <Is<message::ShareGrant> M> auto fields(M &m) { return std::tie(m.Shares); }
@@ -121,6 +124,7 @@
 template <> constexpr std::uint64_t maxOf<message::RecordState>() { return 3; }
 template <> constexpr std::uint64_t maxOf<message::WorkKind>() { return 1; }
 template <> constexpr std::uint64_t maxOf<message::Verdict>() { return 2; }
+template <> constexpr std::uint64_t maxOf<message::Copies>() { return 2; }
 /// Any number fits: info() treats one it does not know as Internal, so newer codes pass.
 template <> constexpr std::uint64_t maxOf<ResultCode>() { return 0xffff; }
 
