--- /dev/null
+++ b/packages/limits/LimitsOf.h
@@ -0,0 +1,17 @@
+// Look-up of the limits in force.
+#ifndef CHERVIL_LIMITS_LIMITSOF_H
+#define CHERVIL_LIMITS_LIMITSOF_H
+
+#include "contract/Contract.h"
+
+#include <functional>
+#include <string>
+
+namespace chervil::limits {
+
+/// Limits of a customer, nullptr for one without a contract.
+using LimitsOf = std::function<const ContractLimits *(const std::string &customer)>;
+
+} // namespace chervil::limits
+
+#endif
