--- /dev/null
+++ b/packages/retry/Quarantine.h
@@ -0,0 +1,62 @@
+// Requests whose back ends died while running them. Use:
+//   if (auto r = onBackendDied(q, contentHash, backend, now)) broadcast(*r);
+//   Standing s = standing(q, contentHash, now);
+//   onCrashReport(q, report, now);   // from a peer; pass the result on when it is not empty
+// Not thread-safe.
+#ifndef CHERVIL_RETRY_QUARANTINE_H
+#define CHERVIL_RETRY_QUARANTINE_H
+
+#include "base/Random.h"
+#include "base/Time.h"
+#include "message/CrashReport.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chervil::retry {
+
+/// Different back ends that must have died before content is quarantined.
+inline constexpr std::size_t DeathsToQuarantine = 2;
+/// Lifetime of a suspicion or quarantine after the last death.
+inline constexpr Duration QuarantineTime = std::chrono::minutes(10);
+/// Back ends remembered per content; more change nothing.
+inline constexpr std::size_t MaxBackends = 8;
+/// Content hashes remembered; the one that expires first is dropped. Bounds memory.
+inline constexpr std::size_t MaxEntries = 10000;
+
+enum class Standing : std::uint8_t {
+  Clear,
+  /// Runs alone on its back end.
+  Suspect,
+  /// Refused with ResultCode::Quarantined.
+  Quarantined,
+};
+
+struct Quarantine {
+  /// Content hash -> back end that died -> when this death is forgotten.
+  std::map<std::uint64_t, std::map<std::string, TimePoint>> Deaths;
+};
+
+Standing standing(const Quarantine &quarantine, std::uint64_t contentHash, const Now &now);
+
+/// Records a death seen by this node and gives the report for its peers.
+message::CrashReport onBackendDied(Quarantine &quarantine, std::uint64_t contentHash,
+                                   const std::string &backend, const Now &now);
+
+/// Merges a report. True when it held something new, so that it is worth passing on. Merging is
+/// commutative and idempotent.
+bool onCrashReport(Quarantine &quarantine, const message::CrashReport &report, const Now &now);
+
+/// Everything known, for a node that has just started.
+std::vector<message::CrashReport> reports(const Quarantine &quarantine, const Now &now);
+
+/// Drops expired entries. Call it about every minute.
+void prune(Quarantine &quarantine, const Now &now);
+
+} // namespace chervil::retry
+
+#endif
