--- a/packages/routing/ManyNodesTest.cpp
+++ b/packages/routing/ManyNodesTest.cpp
@@ -146,7 +146,8 @@
                 longMixed / longAlone);
     BOOST_TEST(mixed.Requests.size() == both.size());
     if (policy == Policy::Routing) {
-      // The wait of short work (target 1.2) is printed and not asserted: it is not met yet.
+      // The wait of short work (target 1.2) is printed and not asserted: it is not met yet and
+      // varies with the seed (1.25 here, 2.38 to 7.81 with three others).
       BOOST_TEST(longMixed <= 1.1 * longAlone);
     }
   }
