settings: pass no null pointer to memcpy for a rejected line

Cause: the sanitizer build reported memcpy() with a null source of length 0 for lines that are too long or contain a NUL byte. Change: the replacement line is an empty string instead of a null view. Conclusion: ArbitraryTextNeverThrows in the sanitizer build guards this.

--- a/packages/settings/ParseNodeSettings.cpp
+++ b/packages/settings/ParseNodeSettings.cpp
@@ -127,7 +127,7 @@
            {.Problem = "malformed line",
             .Found = line.size() > max ? std::to_string(line.size()) + " characters" : "a NUL byte",
             .Accepted = "at most " + std::to_string(max) + " characters of text"});
-    line = {};
+    line = ""; // Not {}, whose null pointer memcpy() must not receive.
   }
   const std::string_view text = trimLeft(line);
   pass.Raw = line;
