--- a/packages/daemon/BackendClient.cpp
+++ b/packages/daemon/BackendClient.cpp
@@ -1,9 +1,7 @@
 #include "daemon/BackendClient.h"
 
 #include "daemon/ChatRequest.h"
-#include "daemon/EngineLoad.h"
-
-#include <nlohmann/json.hpp>
+#include "platform/EngineClient.h"
 
 namespace chervil::daemon {
 namespace {
@@ -41,7 +39,7 @@
   BackendCall &call = it->second;
   call.Status = static_cast<std::uint16_t>(status);
   call.ContentType = valueOf(headers, "content-type");
-  if (const auto load = parseEngineLoad(valueOf(headers, "x-engine-load")))
+  if (const auto load = platform::parseEngineLoad(valueOf(headers, platform::EngineLoadHeader)))
     client.Deliver(node::BackendLoad{call.Backend, load->Running, load->Queued, load->Age});
   const bool isAnswer =
       call.Kind == WorkKind::Service ? !(call.Repeatable && isBusy(call)) : status == 200;
@@ -152,34 +150,17 @@
     return;
   net::cancelCall(*client.Http, it->second.HttpCall);
   if (it->second.Kind == WorkKind::Model)
-    net::startCall(
-        *client.Http,
-        {.Method = "DELETE",
-         .Url = "http://" + it->second.Address + "/v1/requests/" + escapePath(it->second.RequestId),
-         .TotalTimeout = std::chrono::seconds(2)},
-        {});
+    platform::cancelRequest(*client.Platform, it->second.Address, it->second.RequestId,
+                            [](const auto &) {});
   client.Open.erase(it);
 }
 
 void carryOut(BackendClient &client, const node::ExportKv &effect) {
-  const auto body = std::make_shared<std::string>();
-  const nlohmann::json request = {{"request_id", effect.RequestId}};
-  net::startCall(*client.Http,
-                 {.Method = "POST",
-                  .Url = "http://" + effect.Address + "/v1/kv/export",
-                  .Headers = {{"Content-Type", "application/json"}},
-                  .Body = request.dump(),
-                  .TotalTimeout = client.ExportTimeout},
-                 {.OnHead = {},
-                  .OnData = [body](std::string_view bytes) { body->append(bytes); },
-                  .OnEnd =
-                      [&client, body, id = effect.Call](const net::HttpEnd &end) {
-                        const auto json = nlohmann::json::parse(*body, nullptr, false);
-                        std::string handle;
-                        if (end.Status == 200 && json.is_object())
-                          handle = json.value("handle", "");
-                        client.Deliver(node::KvExported{id, handle});
-                      }});
+  platform::exportKv(*client.Platform, effect.Address, effect.RequestId,
+                     [&client, id = effect.Call](const auto &r) {
+                       const bool done = r.Outcome == platform::CallOutcome::Done;
+                       client.Deliver(node::KvExported{id, done ? r.Value.Handle : std::string()});
+                     });
 }
 
 } // namespace chervil::daemon
--- a/packages/daemon/BackendClient.h
+++ b/packages/daemon/BackendClient.h
@@ -8,6 +8,7 @@
 #include "net/HttpClient.h"
 #include "node/Effect.h"
 #include "node/Event.h"
+#include "platform/PlatformClient.h"
 
 #include <chrono>
 #include <cstdint>
@@ -34,10 +35,10 @@
 
 struct BackendClient {
   net::HttpClient *Http = nullptr;
+  platform::PlatformClient *Platform = nullptr;
   std::function<void(node::Event)> Deliver;
   std::chrono::milliseconds ConnectTimeout{1000};
   std::chrono::seconds IdleTimeout{30};
-  std::chrono::milliseconds ExportTimeout{500};
   std::unordered_map<std::uint64_t, BackendCall> Open;
 };
 
--- a/packages/node/Event.h
+++ b/packages/node/Event.h
@@ -14,7 +14,7 @@
 using Event =
     std::variant<CallerRequest, CallerFetch, CallerGone, BackendHead, BackendBytes, BackendEnd,
                  KvExported, BackendLoad, BackendList, BackendNotice, NodeNotices, Document,
-                 ShardDuty, ShardMapWritten, Leave, PeerMessage, PeerUnreachable, Tick>;
+                 ShardDuty, ShardMapWritten, Leave, PeerMessage, PeerUnreachable, OwnLoad, Tick>;
 
 } // namespace chervil::node
 
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -191,6 +191,9 @@
     std::visit(PeerDispatch{Ctx, e.From, e.Address}, e.What);
   }
   void operator()(const PeerUnreachable &e) const { onPeerUnreachable(Ctx, e.Address); }
+  void operator()(const OwnLoad &e) const {
+    membership::setLoad(Ctx.S.Members, e.Percent, Ctx.Time);
+  }
   void operator()(const Tick &) const {
     tickCalls(Ctx);
     tickExecutions(Ctx);
--- a/packages/node/PlatformEvents.h
+++ b/packages/node/PlatformEvents.h
@@ -54,6 +54,11 @@
   WallTime By{};
 };
 
+/// Load of this node in percent of its capacity.
+struct OwnLoad {
+  std::uint8_t Percent = 0;
+};
+
 /// Drives everything that depends on time; about every 20 ms.
 struct Tick {};
 
--- a/packages/platform/EngineClient.cpp
+++ b/packages/platform/EngineClient.cpp
@@ -89,7 +89,7 @@
                  .Body = dump({{"request_id", requestId}})},
                 [callback = std::move(callback)](RawResult &&raw) {
                   callback(detail::convert<KvExport>(std::move(raw), [](const Json &json) {
-                    return KvExport{json.at("export_id").get<std::string>(),
+                    return KvExport{json.at("handle").get<std::string>(),
                                     json.at("bytes").get<std::uint64_t>()};
                   }));
                 });
--- a/packages/platform/EngineClient.h
+++ b/packages/platform/EngineClient.h
@@ -37,7 +37,8 @@
 };
 
 struct KvExport {
-  std::string ExportId;
+  /// "ip:port/ID", given to the importing engine.
+  std::string Handle;
   std::uint64_t Bytes = 0;
 };
 
--- a/packages/platform/PlatformTest.cpp
+++ b/packages/platform/PlatformTest.cpp
@@ -348,7 +348,7 @@
   BOOST_TEST(body["model"] == "m");
   answer(409, "{}");
   BOOST_TEST(is(order().Outcome, CallOutcome::Conflict));
-  answer(200, R"({"export_id":"x","bytes":77})");
+  answer(200, R"({"handle":"x","bytes":77})");
   const auto exported =
       finish<KvExport>([&](auto callback) { exportKv(*Client, engine(), "req", callback); });
   BOOST_TEST(exported.Value.Bytes == 77U);
