--- a/packages/ctl/load/LoadCommand.cpp
+++ b/packages/ctl/load/LoadCommand.cpp
@@ -117,7 +117,16 @@
 } // namespace
 
 int loadCommand(const std::vector<std::string> &args) {
-  const Args parsed = docopt::docopt(Usage, args, true);
+  Args parsed;
+  try {
+    parsed = docopt::docopt_parse(Usage, args, true, false);
+  } catch (const docopt::DocoptExitHelp &) {
+    std::cout << Usage;
+    return 0;
+  } catch (const std::runtime_error &error) {
+    std::cerr << "chervilctl: " << error.what() << "\n" << Usage;
+    return 2;
+  }
   auto options = parseOptions(parsed);
   if (!options) {
     std::cerr << "chervilctl: " << options.error().Message << "\n";
--- a/packages/testing/standin/main.cpp
+++ b/packages/testing/standin/main.cpp
@@ -229,5 +229,13 @@
   google::InitGoogleLogging(argv[0]);
   FLAGS_logtostderr = true;
   std::signal(SIGPIPE, SIG_IGN);
-  return runCommand(docopt::docopt(Usage, {argv + 1, argv + argc}, true));
+  try {
+    return runCommand(docopt::docopt_parse(Usage, {argv + 1, argv + argc}, true, false));
+  } catch (const docopt::DocoptExitHelp &) {
+    std::cout << Usage;
+    return 0;
+  } catch (const docopt::DocoptArgumentError &error) {
+    std::cerr << "chervil_standin: " << error.what() << "\n" << Usage;
+    return 2;
+  }
 }
