--- a/packages/ctl/load/LoadRecordTest.cpp
+++ b/packages/ctl/load/LoadRecordTest.cpp
@@ -45,7 +45,7 @@
   const Refusal notRun{.Result = Outcome::NotRun, .Retry = true};
   const Refusal quarantined{.Result = Outcome::NotRun, .Retry = false};
   const Refusal unknown{.Result = Outcome::Unknown};
-  const auto outcome = [](CallerState state) { return finalOutcome(state); };
+  const auto outcome = [](const CallerState &state) { return finalOutcome(state); };
   BOOST_TEST((outcome({.LastRefusal = notRun}) == LoadOutcome::Refused));
   BOOST_TEST((outcome({.Accepted = true, .LastRefusal = notRun}) == LoadOutcome::Lost));
   BOOST_TEST((outcome({.Accepted = true, .LastRefusal = quarantined}) == LoadOutcome::Refused));
--- a/packages/ctl/load/LoadRunTest.cpp
+++ b/packages/ctl/load/LoadRunTest.cpp
@@ -219,7 +219,8 @@
   LoadOptions it = options(R"({"name":"k","type":"model","model":"m"})");
   it.Entry = {"127.0.0.1:1"};
   it.EntryWait = 50ms;
-  BOOST_TEST(!runLoad(EventLoop, std::move(it)).has_value());
+  const auto report = runLoad(EventLoop, std::move(it));
+  BOOST_TEST(!report.has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
