--- a/packages/ctl/load/LoadRun.cpp
+++ b/packages/ctl/load/LoadRun.cpp
@@ -229,6 +229,8 @@
     call.IdleTimeout = run.Options.Idle;
   if (fetch) {
     call.Url += "/v1/requests/" + request.Key + "?offset=" + flight.Offset;
+    if (kind.Stream)
+      call.Headers.emplace_back("Accept", "text/event-stream");
     return call;
   }
   call.Method = request.Method;
--- a/packages/daemon/PlatformFeed.cpp
+++ b/packages/daemon/PlatformFeed.cpp
@@ -49,13 +49,22 @@
   return backend;
 }
 
+/// Name of the member that serves callers at an address; empty when unknown.
+std::string memberAt(const PlatformFeed &feed, const std::string &address) {
+  for (const auto &[name, member] : feed.Node->Members.Members)
+    if (member.Info.CallerAddress == address)
+      return name;
+  return {};
+}
+
 void onVms(PlatformFeed &feed, const platform::VmChanges &changes) {
   node::NodeNotices notices;
   bool backends = false;
   for (const platform::Vm &vm : changes.Vms) {
     if (vm.Role == platform::VmRole::Node) {
+      feed.NodeVms[vm.Id] = vm.Address;
       if (vm.State == platform::VmState::Leaving)
-        notices.Notices.push_back({vm.Id, true, vm.LeaveBy});
+        notices.Notices.push_back({memberAt(feed, vm.Address), true, vm.LeaveBy});
       continue;
     }
     backends = true;
@@ -82,8 +91,8 @@
     LOG(INFO) << "platform: VM " << it.Vm << " is to be reclaimed.";
     if (feed.Vms.contains(it.Vm))
       feed.Deliver(node::BackendNotice{it.Vm, it.LeaveBy});
-    else
-      nodes.Notices.push_back({it.Vm, true, it.LeaveBy});
+    else if (const auto vm = feed.NodeVms.find(it.Vm); vm != feed.NodeVms.end())
+      nodes.Notices.push_back({memberAt(feed, vm->second), true, it.LeaveBy});
   }
   if (!nodes.Notices.empty())
     feed.Deliver(std::move(nodes));
--- a/packages/daemon/PlatformFeed.h
+++ b/packages/daemon/PlatformFeed.h
@@ -28,7 +28,10 @@
   /// False when the settings name no cloud API.
   bool HasCloud = true;
 
+  /// Back ends by VM id.
   std::map<std::string, platform::Vm> Vms;
+  /// Addresses of entry VMs by VM id; the list names VMs by ids of the cloud.
+  std::map<std::string, std::string> NodeVms;
   platform::LongPollPtr VmPoll;
   platform::LongPollPtr NoticePoll;
   platform::LongPollPtr ConfigWatch;
