Claim not_run only when the standby has confirmed the close

Cause: an owner that has not received the newest map could answer not_run for an attempt that its former standby, owner by now, granted. It did so when it had reported the standby as ready but did not yet have the map that says so, when a second copy of the attempt arrived while the close was unconfirmed, after the close had failed, and for a fetch that reached its outdated copy. An execution that was closing its attempt also registered with a new owner, which reported not_run_without_mark.

Change: a reported standby must confirm like a ready one; until the map arrives new work is refused with not_ready. While a close waits, copies of the attempt get not_ready; a close that is not confirmed is undone. A fetch of a closed attempt answers request_not_found, because it names no attempt. A closing execution only repeats its close.

Conclusion: a close by a standby out of contact with its owner is still lost when the owner gets another standby before it hears of it.

--- a/packages/node/Execute.cpp
+++ b/packages/node/Execute.cpp
@@ -369,7 +369,8 @@
   const TimePoint now = ctx.Time.Steady;
   if (execution.RegisterDue != TimePoint{} && now >= execution.RegisterDue) {
     execution.RegisterDue = {};
-    registerExecution(ctx, execution);
+    if (execution.Phase != ExecutionPhase::Closing)
+      registerExecution(ctx, execution);
   }
   switch (execution.Phase) {
   case ExecutionPhase::Choosing:
--- a/packages/node/Report.cpp
+++ b/packages/node/Report.cpp
@@ -61,7 +61,9 @@
   execution.Holder = holder->Node;
   execution.Fallback = holder->Fallback;
   count(ctx, "reregistered", "owner_changed");
-  registerExecution(ctx, execution);
+  // Nothing runs while the attempt is being closed, and the new owner may have it as closed.
+  if (execution.Phase != ExecutionPhase::Closing)
+    registerExecution(ctx, execution);
   if (execution.Phase == ExecutionPhase::Finishing || execution.Phase == ExecutionPhase::Closing)
     reportEnd(ctx, execution);
   if (!wasFallback || !execution.Record.Spec.Repeatable || !isAlive(ctx.S, former))
--- a/packages/record/Close.cpp
+++ b/packages/record/Close.cpp
@@ -49,7 +49,8 @@
     return effects;
   }
   if (known.Exists && known.State == RecordState::Closed && known.Attempt >= close.Attempt) {
-    reply(effects, from, close, ResultCode::Ok);
+    const bool unconfirmed = detail::isClosing(state, close.Key);
+    reply(effects, from, close, unconfirmed ? ResultCode::NotReady : ResultCode::Ok);
     return effects;
   }
   Record &record = detail::obtain(state, close.Key, now);
@@ -58,15 +59,16 @@
   record.Data.BodyHash = close.BodyHash;
   record.Data.Spec.Repeatable = false;
   detail::endReaders(record, ResultCode::AttemptClosed, effects);
-  if (standby || !detail::needsAck(shard)) {
+  if (standby || !detail::mayBePromoted(state, number)) {
     detail::replicate(state, record, effects);
     reply(effects, from, close, ResultCode::Ok);
     return effects;
   }
   const std::uint64_t seq = detail::replicate(state, record, effects);
-  detail::await(state, seq,
-                {Pending::Kind::Close, close.Key, number, from, close.Attempt, close.Run, 0, {}},
-                now);
+  detail::await(
+      state, seq,
+      {Pending::Kind::Close, close.Key, number, from, close.Attempt, close.Run, known.Attempt, {}},
+      now);
   return effects;
 }
 
--- a/packages/record/Owner.cpp
+++ b/packages/record/Owner.cpp
@@ -121,6 +121,10 @@
   case RecordState::Closed:
     if (copy.Attempt > known.Attempt)
       return false;
+    if (detail::isClosing(state, copy.Key)) {
+      refuse(effects, from, copy, ResultCode::NotReady);
+      return true;
+    }
     refuse(effects, from, copy, ResultCode::AttemptClosed, known.Attempt + 1);
     return true;
   }
@@ -170,7 +174,8 @@
 void acceptOnce(State &state, const NodeId &from, const message::Submit &submit, const Now &now,
                 Effects &effects) {
   const auto &copy = submit.Record;
-  const ShardView &shard = state.Shards[shardOf(state, copy.Key)];
+  const std::uint32_t number = shardOf(state, copy.Key);
+  const ShardView &shard = state.Shards[number];
   const auto created = uuid7Time(copy.Key.Key);
   if (created && *created > now.Wall + state.Settings.ClockMargin) {
     refuse(effects, from, copy, ResultCode::KeyTimeInFuture);
@@ -181,6 +186,11 @@
     refuse(effects, from, copy, ResultCode::ShardLost);
     return;
   }
+  if (!detail::needsAck(shard) && detail::mayBePromoted(state, number)) {
+    // The map that says ready is on its way; until then neither a grant nor "not_run" is safe.
+    refuse(effects, from, copy, ResultCode::NotReady);
+    return;
+  }
   const detail::Known before = detail::lookUp(state, copy.Key);
   Record &record = createRun(state, from, submit, now);
   if (!detail::needsAck(shard)) {
@@ -207,7 +217,8 @@
               ResultCode code) {
   message::RecordCopy copy = record.Data;
   detail::noteEnded(state, record, RecordState::Closed);
-  if (code == ResultCode::StaleEpoch)
+  // Only the standby's word closes an attempt: it may be owner by now and have granted this one.
+  if (code != ResultCode::AttemptClosed)
     record.Data.Attempt = pending.ClosedBefore;
   detail::endReaders(record, code == ResultCode::StaleEpoch ? ResultCode::HandedOver : code,
                      effects);
@@ -233,11 +244,32 @@
     takeBack(state, pending, record, effects, code);
 }
 
-void settleClose(const Pending &pending, ResultCode code, Effects &effects) {
+/// The standby did not confirm the close: the attempt is as open as before.
+void reopen(State &state, const Pending &pending) {
+  const detail::Known known = detail::lookUp(state, pending.Key);
+  if (!known.Exists || known.State != RecordState::Closed || known.Attempt != pending.Attempt)
+    return;
+  if (const auto it = state.Records.find(pending.Key); it != state.Records.end()) {
+    it->second.Data.Attempt = pending.ClosedBefore;
+    if (pending.ClosedBefore == 0)
+      state.Records.erase(it);
+    return;
+  }
+  Mark mark = *findMark(state.Marks, pending.Key);
+  mark.Attempt = pending.ClosedBefore;
+  eraseMark(state.Marks, pending.Key);
+  if (pending.ClosedBefore > 0)
+    addMark(state.Marks, hashOf(pending.Key), mark);
+}
+
+void settleClose(State &state, const Pending &pending, ResultCode code, Effects &effects) {
   const bool closed = code == ResultCode::Ok || code == ResultCode::AttemptClosed;
   send(effects, pending.Requester,
        message::CloseReply{pending.Key, pending.Attempt,
                            closed ? ResultCode::Ok : ResultCode::OutcomeUnknown});
+  // The holder of a grant closes for good: its grant cannot be issued again.
+  if (!closed && pending.Run == 0)
+    reopen(state, pending);
 }
 
 } // namespace
@@ -248,7 +280,7 @@
   if (pending.What == Pending::Kind::Grant)
     settleGrant(state, pending, code, effects);
   else
-    settleClose(pending, code, effects);
+    settleClose(state, pending, code, effects);
 }
 
 } // namespace detail
--- a/packages/record/Reading.cpp
+++ b/packages/record/Reading.cpp
@@ -18,12 +18,14 @@
     send(effects, to, message::Chunk{fetch.Reader, at, answer.substr(at, MaxChunk)});
 }
 
+/// A fetch names no attempt, and this copy may be older than a run of a later one: a closed attempt
+/// is reported as unknown, never as not run.
 ResultCode codeOfMark(RecordState state) {
   switch (state) {
   case RecordState::Finished:
     return ResultCode::AnswerExpired;
   case RecordState::Closed:
-    return ResultCode::AttemptClosed;
+    return ResultCode::RequestNotFound;
   case RecordState::Running:
   case RecordState::Unknown:
     break;
--- a/packages/record/RecordTest.cpp
+++ b/packages/record/RecordTest.cpp
@@ -277,4 +277,69 @@
   BOOST_TEST(Owner.Marks.Entries.empty());
 }
 
+// Guards against "not_run" from a former owner that has not received the map in which its standby
+// is ready and has become owner.
+BOOST_FIXTURE_TEST_CASE(ReportedStandbyMustAckBeforeNotRun, Pair) {
+  Owner.Shards.clear();
+  Standby.Shards.clear();
+  const IsAlive alive = [](const NodeId &) { return true; };
+  onShards(Standby, {view(Role::Standby, 2, false)}, alive, at(0));
+  const Effects start = onShards(Owner, {view(Role::Owner, 2, false)}, alive, at(0));
+  const auto early =
+      find<message::SubmitReply>(onSubmit(Owner, GatewayId, request("k", false), at(1)), GatewayId);
+  BOOST_REQUIRE(early.has_value());
+  BOOST_TEST((early->Code == ResultCode::NoStandby));
+
+  const auto chunk = find<message::TableChunk>(start, StandbyId);
+  BOOST_REQUIRE(chunk.has_value());
+  const auto ack = find<message::TableAck>(onTableChunk(Standby, OwnerId, *chunk, at(2)), OwnerId);
+  BOOST_REQUIRE(ack.has_value());
+  BOOST_TEST(onTableAck(Owner, StandbyId, *ack, at(3)).ReadyStandbys.size() == 1U);
+
+  const auto later =
+      find<message::SubmitReply>(onSubmit(Owner, GatewayId, request("m", false), at(4)), GatewayId);
+  BOOST_REQUIRE(later.has_value());
+  BOOST_TEST((later->Code == ResultCode::NotReady));
+  const Effects closing = onClose(Owner, GatewayId, {{"acme", "m"}, 7, 1, 0}, at(5));
+  BOOST_TEST(!find<message::CloseReply>(closing, GatewayId).has_value());
+  const auto closed = find<message::CloseReply>(grantThrough(closing, 6), GatewayId);
+  BOOST_REQUIRE(closed.has_value());
+  BOOST_TEST((closed->Code == ResultCode::Ok));
+}
+
+// Guards against "not_run" for a reader whose fetch reaches an outdated copy of the record.
+BOOST_FIXTURE_TEST_CASE(FetchOfAClosedAttemptDoesNotClaimNotRun, Pair) {
+  grantThrough(onClose(Owner, GatewayId, {{"acme", "k"}, 7, 1, 0}, at(0)), 1);
+  for (int ms : {2, 3}) {
+    const auto end =
+        find<message::End>(onFetch(Owner, OtherId, {{"acme", "k"}, 0, 9, false}, at(ms)), OtherId);
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST((info(end->Code).Result == Outcome::Unknown));
+    record::tick(Owner, at(ms));
+  }
+}
+
+// Guards against "not_run" for an attempt whose close the standby has not confirmed: the standby
+// may be owner by now and have granted it.
+BOOST_FIXTURE_TEST_CASE(UnconfirmedCloseDoesNotClaimNotRun, Pair) {
+  const Effects closing = onClose(Owner, GatewayId, {{"acme", "k"}, 7, 1, 0}, at(0));
+  BOOST_TEST(!find<message::CloseReply>(closing, GatewayId).has_value());
+  record::tick(Owner, at(1));
+  const auto again =
+      find<message::CloseReply>(onClose(Owner, OtherId, {{"acme", "k"}, 7, 1, 0}, at(2)), OtherId);
+  BOOST_REQUIRE(again.has_value());
+  BOOST_TEST((again->Code == ResultCode::NotReady));
+  const auto waits =
+      find<message::SubmitReply>(onSubmit(Owner, OtherId, request("k", false), at(3)), OtherId);
+  BOOST_REQUIRE(waits.has_value());
+  BOOST_TEST((waits->Code == ResultCode::NotReady));
+
+  const auto failed = find<message::CloseReply>(record::tick(Owner, at(60'000)), GatewayId);
+  BOOST_REQUIRE(failed.has_value());
+  BOOST_TEST((failed->Code == ResultCode::OutcomeUnknown));
+  const Effects next = onSubmit(Owner, OtherId, request("k", false), at(60'001));
+  BOOST_TEST(!find<message::SubmitReply>(next, OtherId).has_value());
+  BOOST_TEST(find<message::Mark>(next, StandbyId).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/record/Replication.cpp
+++ b/packages/record/Replication.cpp
@@ -51,6 +51,19 @@
 
 bool needsAck(const ShardView &shard) { return shard.Ready && isSet(shard.Standby); }
 
+bool mayBePromoted(const State &state, std::uint32_t shard) {
+  if (needsAck(state.Shards[shard]))
+    return true;
+  const auto it = state.Transfers.find(shard);
+  return it != state.Transfers.end() && it->second.Index == UINT32_MAX;
+}
+
+bool isClosing(const State &state, const RequestKey &key) {
+  return std::ranges::any_of(state.Waiting, [&](const auto &it) {
+    return it.second.What == Pending::Kind::Close && it.second.Key == key;
+  });
+}
+
 void endReaders(Record &record, ResultCode code, Effects &effects) {
   const auto &data = record.Data;
   for (const Reader &reader : std::exchange(record.Readers, {}))
--- a/packages/record/Replication.h
+++ b/packages/record/Replication.h
@@ -29,6 +29,13 @@
 
 /// True if the standby must acknowledge before anything is promised.
 bool needsAck(const ShardView &shard);
+/// True if the standby may be owner under a newer map that has not arrived here: it is ready, or
+/// this node has reported it as ready. An attempt is then closed only with the standby's ack,
+/// because the new owner may have granted it.
+bool mayBePromoted(const State &state, std::uint32_t shard);
+/// True while the close of an attempt of this key waits for the standby: "not_run" may not be
+/// claimed yet.
+bool isClosing(const State &state, const RequestKey &key);
 
 /// Tells all readers that the answer has ended and forgets them.
 void endReaders(Record &record, ResultCode code, Effects &effects);
