Begin a lost epoch only when a former holder is known to have stopped

Cause: when owner and standby of a shard were both believed dead, assign() started a lost epoch with a new owner, which then ran non-repeatable keys younger than the epoch. A pair that was merely out of contact went on granting under the old epoch, so that one key could run twice.

Change: a member that assign() is given as Dead is known to have stopped; an absent one is out of contact. The proof is a newer incarnation or a VM that the VM list shows as gone (NodeNotices::Gone; a node keeps 1,024). With a ready standby one stopped holder is enough. With one that is not ready the owner itself must have stopped, since it may never have received the epoch and may still grant with the standby of the epoch before. A shard that never had a ready standby has granted nothing. The test driver reports gone VMs 4 s after a crash, splits the nodes in two groups with the key-value service on one or both sides, lets service calls take time, and has callers that send a key again to another node after 3 s. Its incarnations are start times now, which the comparison with the VM list needs.

Conclusion: shards of a pair that is out of contact refuse non-repeatable work on the other side until the VM list or a restart proves that one has stopped.

--- a/packages/node/Context.h
+++ b/packages/node/Context.h
@@ -115,6 +115,8 @@
 void apply(Context &ctx, config::Effects effects);
 void onDocument(Context &ctx, const Document &document);
 void tickDocuments(Context &ctx);
+/// Keeps the VMs that are gone as proof that their nodes have stopped.
+void noteGoneVms(Context &ctx, const std::vector<VmGone> &gone);
 void onShardDuty(Context &ctx, const ShardDuty &duty);
 void onShardMapWritten(Context &ctx, const ShardMapWritten &written);
 void onStandbyReady(Context &ctx, const NodeId &from, const message::StandbyReady &ready);
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -113,6 +113,7 @@
   for (const membership::VmNotice &it : notices.Notices)
     if (it.Leaving && it.Name == ctx.S.Self.Name && it.LeaveBy > ctx.Time.Wall)
       onLeave(ctx, {it.LeaveBy});
+  noteGoneVms(ctx, notices.Gone);
   apply(ctx, membership::applyVmNotices(ctx.S.Members, notices.Notices, ctx.Time));
 }
 
--- a/packages/node/NodeTest.cpp
+++ b/packages/node/NodeTest.cpp
@@ -217,4 +217,57 @@
   BOOST_TEST(ok);
 }
 
+// Guards against a second execution of a key when two groups of nodes lose contact: each may take
+// the other for dead, while both answer callers. Service calls take long and callers send a key
+// again through other nodes, so that one key is under way in both groups.
+BOOST_AUTO_TEST_CASE(InvariantsHoldWhileGroupsAreApart) {
+  const bool ok = rc::check("no key doubled, no answer wrong, no false not_run", [] {
+    const auto seed = *rc::gen::inRange<std::uint64_t>(0, 1'000'000);
+    Split groups;
+    groups.First = *rc::gen::inRange(1U, 31U);
+    groups.FirstHasKv = *rc::gen::element(true, false);
+    groups.SecondHasKv = !groups.FirstHasKv || *rc::gen::element(true, false);
+    const auto splitAt = *rc::gen::inRange(0U, 10'000U);
+    const auto splitFor = *rc::gen::inRange(1'000U, 30'000U);
+    const auto serviceTime = *rc::gen::inRange(10U, 6'000U);
+    const auto faults =
+        *rc::gen::resize(6, rc::gen::container<std::vector<Fault>>(rc::gen::construct<Fault>(
+                                rc::gen::inRange(0U, 9U), rc::gen::inRange(0U, 5U),
+                                rc::gen::inRange(0U, 40'000U), rc::gen::inRange(100U, 15'000U))));
+    DriverOptions options = small();
+    options.ServiceTime = std::chrono::milliseconds(serviceTime);
+    options.CallerPatience = 3s;
+    NodeDriver driver(options, seed);
+    driver.runFor(12s);
+    std::vector<Fault> order = faults;
+    std::ranges::sort(order, {}, &Fault::At);
+    std::size_t next = 0;
+    bool isSplit = false;
+    for (unsigned ms = 0; ms < 45'000; ms += 500) {
+      driver.call({driver.freshKey(), false, 1, ms / 500});
+      if (ms % 1000 == 0)
+        driver.call({"m" + std::to_string(ms), true, 100, ms / 1000 + 1});
+      for (; next < order.size() && order[next].At < ms; ++next)
+        inject(driver, order[next], options.Nodes, options.Backends);
+      if (!isSplit && splitAt <= ms) {
+        driver.split(groups, std::chrono::milliseconds(splitFor));
+        isSplit = true;
+      }
+      driver.runFor(500ms);
+    }
+    driver.runFor(20s);
+    const Report report = driver.report();
+    for (const std::string &it : report.Violations)
+      RC_LOG() << it << "\n";
+    for (const std::string &it : report.Details)
+      RC_LOG() << it << "\n";
+    RC_ASSERT(report.Violations.empty());
+    RC_ASSERT(report.Wrong == 0U);
+    RC_ASSERT(report.Doubled == 0U);
+    RC_ASSERT(report.WrongNotRun == 0U);
+    RC_ASSERT(report.LateToLeaving == 0U);
+  });
+  BOOST_TEST(ok);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/node/PlatformEvents.h
+++ b/packages/node/PlatformEvents.h
@@ -23,9 +23,19 @@
   WallTime LeaveBy{};
 };
 
+/// A VM that no longer exists, by the platform's VM list.
+struct VmGone {
+  /// Name of the VM, which is the name of the node that ran on it.
+  std::string Name;
+  /// A time at which the VM did not exist. For a list that lags, the time of its contents and not
+  /// the time at which it was read.
+  WallTime At{};
+};
+
 /// VM list entries and reclaim notices that concern nodes.
 struct NodeNotices {
   std::vector<membership::VmNotice> Notices;
+  std::vector<VmGone> Gone;
 };
 
 /// A document read from the key-value service.
--- a/packages/node/Shards.cpp
+++ b/packages/node/Shards.cpp
@@ -2,6 +2,9 @@
 #include "node/Context.h"
 #include "shard/Assign.h"
 
+#include <algorithm>
+#include <set>
+
 namespace chervil::node::detail {
 
 namespace {
@@ -31,6 +34,40 @@
          now.Steady - state.Members.StartedAt >= FirstMapDelay;
 }
 
+/// True if the process is known to have stopped, rather than to be out of contact.
+bool isStopped(const State &state, const NodeId &id) {
+  const membership::Member *member = membership::findByName(state.Members, id.Name);
+  if (member != nullptr && member->Info.Id.Incarnation > id.Incarnation)
+    return true;
+  const auto gone = state.GoneVms.find(id.Name);
+  if (gone == state.GoneVms.end())
+    return false;
+  // The time of the list and the start time come from different clocks, each with an error of up
+  // to the margin; a later VM of the same name must not be taken for the one that is gone.
+  const WallTime started(std::chrono::milliseconds(id.Incarnation));
+  return gone->second > started + 2 * state.Records.Settings.ClockMargin;
+}
+
+/// Live members, and those holders in the map that are known to have stopped.
+std::vector<message::MemberUpdate> membersFor(const State &state, const shard::ShardMap &map) {
+  std::vector<message::MemberUpdate> members;
+  for (const auto &[name, member] : state.Members.Members)
+    if (member.Info.State != message::MemberState::Dead)
+      members.push_back(member.Info);
+  std::set<NodeId> holders;
+  for (const shard::Placement &it : map.Shards)
+    holders.insert({it.Owner, it.Standby});
+  for (const NodeId &id : holders) {
+    if (!isSet(id) || isAlive(state, id) || !isStopped(state, id))
+      continue;
+    message::MemberUpdate stopped;
+    stopped.Id = id;
+    stopped.State = message::MemberState::Dead;
+    members.push_back(std::move(stopped));
+  }
+  return members;
+}
+
 std::optional<shard::ShardMap> nextMap(const State &state, const Now &now) {
   shard::ShardMap map = state.Map;
   bool changed = false;
@@ -41,10 +78,7 @@
     }
   if (!mayAssign(state, now))
     return changed ? std::optional(map) : std::nullopt;
-  std::vector<message::MemberUpdate> members;
-  for (const auto &[name, member] : state.Members.Members)
-    if (member.Info.State != message::MemberState::Dead)
-      members.push_back(member.Info);
+  const std::vector<message::MemberUpdate> members = membersFor(state, map);
   shard::AssignOptions options;
   options.ShardCount = state.Settings.ShardCount;
   options.RetryHorizon = state.Records.Settings.RetryHorizon;
@@ -75,6 +109,18 @@
     followOwner(ctx, execution);
 }
 
+void noteGoneVms(Context &ctx, const std::vector<VmGone> &gone) {
+  // More VMs than disappear within a day in a fleet of 320 nodes.
+  constexpr std::size_t maxGoneVms = 1024;
+  auto &known = ctx.S.GoneVms;
+  for (const VmGone &it : gone) {
+    WallTime &at = known[it.Name];
+    at = std::max(at, it.At);
+  }
+  while (known.size() > maxGoneVms)
+    known.erase(std::ranges::min_element(known, {}, [](const auto &it) { return it.second; }));
+}
+
 void onShardDuty(Context &ctx, const ShardDuty &duty) {
   ctx.S.Duty.Held = duty.Held;
   ctx.S.Duty.MapRevision = duty.MapRevision;
--- a/packages/node/State.h
+++ b/packages/node/State.h
@@ -55,6 +55,8 @@
   record::State Records;
   routing::State Routes;
   ShardDutyState Duty;
+  /// VMs that the platform's list shows as gone, with the latest time for which it does; bounded.
+  std::map<std::string, WallTime> GoneVms;
   std::optional<LeavingState> Leaving;
 
   std::unordered_map<std::uint64_t, Call> Calls;
--- a/packages/shard/Assign.cpp
+++ b/packages/shard/Assign.cpp
@@ -33,6 +33,8 @@
   std::map<std::string, Candidate> Live;
   /// Data centre and region are also known for dead members that are still listed.
   std::map<std::pair<std::string, std::uint64_t>, const MemberUpdate *> Known;
+  /// Newest incarnation by name.
+  std::map<std::string, std::uint64_t> Newest;
   /// Counts above which a member gets more only if all others have as many.
   std::size_t OwnedLimit = 0;
   std::size_t RoleLimit = 0;
@@ -55,7 +57,7 @@
 
 Work prepare(const ShardMap &map, std::span<const MemberUpdate> members, const Now &now,
              const AssignOptions &options) {
-  Work work{options, now, {}, {}, 0, 0, 0};
+  Work work{options, now, {}, {}, {}, 0, 0, 0};
   std::map<std::string, const MemberUpdate *> newest;
   for (const MemberUpdate &it : members) {
     if (!isSet(it.Id))
@@ -65,9 +67,11 @@
     if (slot == nullptr || slot->Id.Incarnation < it.Id.Incarnation)
       slot = &it;
   }
-  for (const auto &[name, it] : newest)
+  for (const auto &[name, it] : newest) {
+    work.Newest[name] = it->Id.Incarnation;
     if (it->State != MemberState::Dead)
       work.Live[name] = Candidate{it, 0, 0};
+  }
   for (const Placement &p : map.Shards)
     count(work, p, 1);
   for (const auto &[name, it] : work.Live)
@@ -140,14 +144,37 @@
   return apart(p.Owner) && apart(p.Standby);
 }
 
-/// Promotes the standby, or starts a lost epoch when the standby does not hold the whole table.
-void replaceOwner(Work &work, std::size_t shard, Placement &p) {
+/// True if this incarnation is known to have stopped, rather than to be out of contact.
+bool isStopped(const Work &work, const NodeId &id) {
+  const auto newer = work.Newest.find(id.Name);
+  if (newer != work.Newest.end() && newer->second > id.Incarnation)
+    return true;
+  const auto it = work.Known.find({id.Name, id.Incarnation});
+  return it != work.Known.end() && it->second->State == MemberState::Dead;
+}
+
+/// True if nobody can issue a grant for the shard under this epoch or an earlier one.
+///
+/// A grant needs owner and standby of one epoch. A ready standby means that the owner works under
+/// this epoch, so no earlier pair can still grant, and one stopped member of the pair is enough.
+/// Otherwise the owner may not have received this epoch and may still grant with the standby of an
+/// earlier one; every such pair contains the present owner, since it was owner or ready standby in
+/// the epoch before. Nothing was ever granted before the first standby became ready.
+bool canNoLongerGrant(const Work &work, const Placement &p) {
+  if (p.Epoch <= 1 && !p.Ready)
+    return true;
+  return isStopped(work, p.Owner) || (p.Ready && isStopped(work, p.Standby));
+}
+
+/// Promotes the standby, or starts a lost epoch when the standby does not hold the whole table. A
+/// shard whose former holders may still grant is left as it is; returns true if it changed.
+bool replaceOwner(Work &work, std::size_t shard, Placement &p) {
   const NodeId oldOwner = p.Owner;
   const Candidate *standby = findLive(work, p.Standby);
   if (standby != nullptr && p.Ready) {
     const NodeId next = standbyFor(work, shard, *standby, NodeId{});
     place(work, p, standby->Info->Id, next);
-    return;
+    return true;
   }
   const Candidate *owner = standby != nullptr && !isLeaving(*standby)
                                ? standby
@@ -156,11 +183,12 @@
   if (const Candidate *any = choose(work, shard, nullptr, {});
       owner == nullptr || (standby == nullptr && any->Info->Id != oldOwner))
     owner = any;
-  if (owner->Info->Id == oldOwner)
-    return;
+  if (owner->Info->Id == oldOwner || !canNoLongerGrant(work, p))
+    return false;
   const NodeId next = standbyFor(work, shard, *owner, p.Standby);
   place(work, p, owner->Info->Id, next);
   p.LostSince = work.Time.Wall;
+  return true;
 }
 
 void update(Work &work, std::size_t shard, Placement &p) {
@@ -186,10 +214,8 @@
     }
     const Candidate *any = choose(work, shard, nullptr, p.Owner.Name);
     const bool othersStay = any != nullptr && !isLeaving(*any);
-    if (due && othersStay) {
-      replaceOwner(work, shard, p);
+    if (due && othersStay && replaceOwner(work, shard, p))
       return;
-    }
   }
   const NodeId next = standbyFor(work, shard, *owner, p.Standby);
   if (next != p.Standby)
--- a/packages/shard/Assign.h
+++ b/packages/shard/Assign.h
@@ -30,9 +30,16 @@
 };
 
 /// The changed map, with Version raised by 1, or nothing if no change is needed or no member is
-/// live. `members` are the newest incarnations known, in any order; an incarnation that is not
-/// among them is taken for dead, so call this only when the member list is complete
-/// (membership::isSettled).
+/// live. `members` are the newest incarnations known, in any order; call this only when the member
+/// list is complete (membership::isSettled).
+///
+/// An incarnation that is not among the members is out of contact: its roles are given to others as
+/// far as that cannot lead to a second execution. A member may be listed as Dead only if its
+/// process is known to have stopped, by the VM list or by a newer incarnation; a member that merely
+/// failed to answer must be left out. An epoch without the records of the one before (LostSince)
+/// begins only when the former owner, or the former ready standby, is known to have stopped: both
+/// are needed for a grant, and a pair that is out of contact would go on granting beside the new
+/// owner.
 std::optional<ShardMap> assign(const ShardMap &map, std::span<const message::MemberUpdate> members,
                                const Now &now, const AssignOptions &options);
 
--- a/packages/shard/AssignTest.cpp
+++ b/packages/shard/AssignTest.cpp
@@ -174,6 +174,58 @@
   BOOST_TEST(!next.Shards[0].LostSince.has_value());
 }
 
+// Guards against a second owner beside a pair that is out of contact and goes on granting.
+BOOST_AUTO_TEST_CASE(LostEpochNeedsAStoppedHolder) {
+  auto members = fleet(8, 4);
+  const ShardMap map = created(members, shards(64));
+  const Placement first = map.Shards[0];
+  auto reached = members;
+  std::erase_if(
+      reached, [&](const MemberUpdate &u) { return u.Id == first.Owner || u.Id == first.Standby; });
+  const auto kept = assign(map, reached, at(60s), shards(64)).value_or(map);
+  BOOST_TEST((kept.Shards[0] == first));
+
+  for (const NodeId &stopped : {first.Owner, first.Standby}) {
+    auto known = reached;
+    MemberUpdate dead = *byName(members, stopped.Name);
+    dead.State = MemberState::Dead;
+    known.push_back(dead);
+    const auto byList = assign(map, known, at(60s), shards(64));
+    BOOST_REQUIRE(byList.has_value());
+    BOOST_TEST((byList->Shards[0].LostSince == at(60s).Wall));
+
+    known.back().State = MemberState::Alive;
+    known.back().Id.Incarnation += 1;
+    const auto byRestart = assign(map, known, at(60s), shards(64));
+    BOOST_REQUIRE(byRestart.has_value());
+    BOOST_TEST((byRestart->Shards[0].LostSince == at(60s).Wall));
+  }
+}
+
+// Guards against taking a stopped standby for a proof when it never became ready: the owner may not
+// have received its epoch and may still grant with the standby of the epoch before.
+BOOST_AUTO_TEST_CASE(StoppedStandbyThatWasNotReadyProvesNothing) {
+  auto members = fleet(8, 4);
+  const ShardMap map = created(members, shards(64));
+  const Placement first = map.Shards[0];
+  const auto remove = [&](const NodeId &id) {
+    std::erase_if(members, [&](const MemberUpdate &u) { return u.Id == id; });
+  };
+  remove(first.Standby);
+  const ShardMap second = assign(map, members, at(10s), shards(64)).value();
+  BOOST_TEST((second.Shards[0].Owner == first.Owner));
+  BOOST_TEST(!second.Shards[0].Ready);
+  const MemberUpdate owner = *byName(members, first.Owner.Name);
+  remove(first.Owner);
+  byName(members, second.Shards[0].Standby.Name)->State = MemberState::Dead;
+  const ShardMap third = assign(second, members, at(20s), shards(64)).value_or(second);
+  BOOST_TEST((third.Shards[0] == second.Shards[0]));
+  members.push_back(owner);
+  members.back().State = MemberState::Dead;
+  const ShardMap last = assign(third, members, at(30s), shards(64)).value();
+  BOOST_TEST((last.Shards[0].LostSince == at(30s).Wall));
+}
+
 // Guards against replacing a leaving owner before its records are safe, or not at all.
 BOOST_AUTO_TEST_CASE(LeavingOwnerWaitsForItsStandby) {
   auto members = fleet(8, 4);
--- a/packages/testing/NodeDriver.cpp
+++ b/packages/testing/NodeDriver.cpp
@@ -1,5 +1,6 @@
 #include "testing/NodeDriver.h"
 
+#include "base/Uuid.h"
 #include "contract/VersionedContract.h"
 
 #include <algorithm>
@@ -16,7 +17,7 @@
 constexpr auto LeaseTime = 2s;
 constexpr auto LeavingBound = 3s;
 constexpr unsigned MaxTries = 200;
-constexpr std::uint64_t FirstIncarnation = 1'000;
+constexpr auto VmListPeriod = 1s;
 
 std::string nameOf(std::size_t node) { return "n" + std::to_string(node); }
 std::string addressOf(std::size_t node) { return "10.0.0." + std::to_string(node) + ":1"; }
@@ -61,7 +62,9 @@
   slot.CrashAt = TimePoint::max();
   slot.BelievesDuty = false;
   message::MemberUpdate self;
-  self.Id = {nameOf(node), FirstIncarnation + NextSeq++};
+  const auto started = static_cast<std::uint64_t>(now().Wall.time_since_epoch().count());
+  slot.Incarnation = std::max(slot.Incarnation + 1, started);
+  self.Id = {nameOf(node), slot.Incarnation};
   self.Region = "r";
   self.DataCentre = "dc" + std::to_string(node % Options.DataCentres);
   self.PeerAddress = addressOf(node);
@@ -108,7 +111,9 @@
   }
   runBackends();
   serveDuty();
+  publishVmList();
   reconnectCallers();
+  resendImpatiently();
 }
 
 void NodeDriver::runEvent(std::size_t node, const node::Event &event) {
@@ -160,7 +165,7 @@
   for (std::size_t i = 0; i < Slots.size(); ++i) {
     if (addressOf(i) != send.Address || !Slots[i].Up)
       continue;
-    if (Clock < Slots[i].IsolatedUntil || Clock < Slots[from].IsolatedUntil ||
+    if (Clock < Slots[i].IsolatedUntil || Clock < Slots[from].IsolatedUntil || isCut(from, i) ||
         percent(Rng) < Options.LossPercent)
       return;
     post(i, node::PeerMessage{Slots[from].State->Self, addressOf(from), send.What},
@@ -177,7 +182,7 @@
 void NodeDriver::writeMap(std::size_t node, const node::WriteShardMap &write) {
   using Outcome = node::ShardMapWritten::Outcome;
   ++MapWrites;
-  if (Clock < OutageUntil) {
+  if (Clock < OutageUntil || !reachesKv(node)) {
     post(node, node::ShardMapWritten{Outcome::Unavailable, 0}, 500ms);
     Slots[node].BelievesDuty = false;
     return;
@@ -206,7 +211,9 @@
   NextDuty = Clock + 200ms;
   if (Clock < OutageUntil)
     return;
-  const auto active = [&](std::size_t i) { return Slots[i].Up && Clock >= Slots[i].PausedUntil; };
+  const auto active = [&](std::size_t i) {
+    return Slots[i].Up && Clock >= Slots[i].PausedUntil && reachesKv(i);
+  };
   if (DutyHolder && active(*DutyHolder) && Clock < LeaseUntil &&
       !Slots[*DutyHolder].State->Leaving) {
     LeaseUntil = Clock + LeaseTime;
@@ -235,6 +242,30 @@
   }
 }
 
+bool NodeDriver::isCut(std::size_t from, std::size_t to) const {
+  return Clock < SplitUntil && ((Groups.First >> from) & 1U) != ((Groups.First >> to) & 1U);
+}
+
+bool NodeDriver::reachesKv(std::size_t node) const {
+  if (Clock >= SplitUntil)
+    return true;
+  return ((Groups.First >> node) & 1U) != 0 ? Groups.FirstHasKv : Groups.SecondHasKv;
+}
+
+void NodeDriver::publishVmList() {
+  if (Clock < NextVmList)
+    return;
+  NextVmList = Clock + VmListPeriod;
+  node::NodeNotices notices;
+  for (std::size_t i = 0; i < Slots.size(); ++i)
+    if (!Slots[i].Up && Clock - Slots[i].CrashedAt >= Options.VmListLag)
+      notices.Gone.push_back({nameOf(i), now().Wall - Options.VmListLag});
+  if (notices.Gone.empty())
+    return;
+  for (std::size_t i = 0; i < Slots.size(); ++i)
+    post(i, notices, 1ms);
+}
+
 void NodeDriver::publishBackends() {
   for (std::size_t n = 0; n < Slots.size(); ++n) {
     node::BackendList list;
@@ -272,6 +303,7 @@
   }
   if (call.Spec.Kind == message::WorkKind::Service && !call.Spec.Repeatable)
     ++Executions[call.Key];
+  running.StartedAt = Clock;
   Calls.push_back(std::move(running));
 }
 
@@ -295,6 +327,10 @@
     }
     const bool model = it.Spec.Kind == message::WorkKind::Model;
     const unsigned tokens = model ? static_cast<unsigned>(std::stoul(it.Spec.Body)) : 1;
+    if (!model && Clock - it.StartedAt < Options.ServiceTime) {
+      Calls.push_back(std::move(it));
+      continue;
+    }
     if (it.NextToken < tokens) {
       const std::string text = model ? tokenOf(it.Key, it.NextToken) : "done " + it.Key;
       ++it.NextToken;
@@ -307,6 +343,8 @@
   }
 }
 
+std::string NodeDriver::freshKey() { return makeUuid7(now().Wall, Rng); }
+
 void NodeDriver::call(const DriverRequest &request) {
   Caller caller;
   caller.Request = request;
@@ -317,6 +355,7 @@
 
 void NodeDriver::sendRequest(Caller &caller) {
   caller.Handle = NextHandle++;
+  caller.ActiveAt = Clock;
   caller.GatewayGeneration = Slots[caller.Gateway].Generation;
   if (++caller.Tries > MaxTries || !Slots[caller.Gateway].Up) {
     // A caller that cannot connect tries another address in reconnectCallers().
@@ -360,6 +399,20 @@
   }
 }
 
+void NodeDriver::resendImpatiently() {
+  if (Options.CallerPatience == 0ms || Clock.time_since_epoch() % 50ms != 0ms)
+    return;
+  for (auto &[key, caller] : Callers) {
+    if (caller.Done || caller.Tries > MaxTries || Clock - caller.ActiveAt < Options.CallerPatience)
+      continue;
+    caller.Gateway = pickNode();
+    caller.Fetching = caller.Request.Repeatable && !caller.Text.empty();
+    if (!caller.Request.Repeatable)
+      caller.Text.clear();
+    sendRequest(caller);
+  }
+}
+
 NodeDriver::Caller *NodeDriver::callerOf(std::size_t node, std::uint64_t handle) {
   for (auto &[key, caller] : Callers)
     if (!caller.Done && caller.Handle == handle && caller.Gateway == node)
@@ -374,6 +427,7 @@
   if (bytes.Offset != caller->Text.size())
     caller->IsWrong = true;
   caller->Text += bytes.Text;
+  caller->ActiveAt = Clock;
 }
 
 void NodeDriver::onRefuse(std::size_t node, const node::Refuse &refuse) {
@@ -422,6 +476,8 @@
 }
 
 void NodeDriver::crash(std::size_t node) {
+  if (Slots[node].Up)
+    Slots[node].CrashedAt = Clock;
   Slots[node].Up = false;
   Slots[node].CrashAt = TimePoint::max();
 }
@@ -471,6 +527,11 @@
   Slots[node].IsolatedUntil = Clock + time;
 }
 
+void NodeDriver::split(const Split &groups, std::chrono::milliseconds time) {
+  Groups = groups;
+  SplitUntil = Clock + time;
+}
+
 Report NodeDriver::report() const {
   Report report;
   report.Requests = Callers.size();
--- a/packages/testing/NodeDriver.h
+++ b/packages/testing/NodeDriver.h
@@ -28,6 +28,13 @@
   /// Share of peer messages that are lost, in percent.
   unsigned LossPercent = 0;
   std::chrono::milliseconds MaxDelay{5};
+  /// How far the VM list lags behind a crash.
+  std::chrono::milliseconds VmListLag{4000};
+  /// Time that a service needs for its answer.
+  std::chrono::milliseconds ServiceTime{0};
+  /// Callers that see no progress for this long send the same key and attempt to another node,
+  /// while their former connection stays open; zero for callers that wait.
+  std::chrono::milliseconds CallerPatience{0};
   node::PartOptions Parts;
 };
 
@@ -58,6 +65,15 @@
   std::vector<std::string> Details;
 };
 
+/// Nodes that cannot reach each other.
+struct Split {
+  /// Nodes of the first group, one bit per node; the others form the second.
+  unsigned First = 0;
+  /// Which groups reach the key-value service.
+  bool FirstHasKv = true;
+  bool SecondHasKv = true;
+};
+
 class NodeDriver {
 public:
   NodeDriver(DriverOptions options, std::uint64_t seed);
@@ -81,7 +97,11 @@
   void loseNextAnswer() { ++LostAnswers; }
   /// Drops all messages between the node and the others.
   void isolate(std::size_t node, std::chrono::milliseconds time);
+  /// Drops all messages between two groups of nodes. Callers and back ends reach both.
+  void split(const Split &groups, std::chrono::milliseconds time);
 
+  /// A UUIDv7 of the present time, for requests that may run after a loss of records.
+  std::string freshKey();
   bool isUp(std::size_t node) const { return Slots[node].Up; }
   const node::State &state(std::size_t node) const { return *Slots[node].State; }
   std::size_t mapWrites() const { return MapWrites; }
@@ -94,6 +114,8 @@
     TimePoint PausedUntil{};
     TimePoint IsolatedUntil{};
     TimePoint CrashAt = TimePoint::max();
+    TimePoint CrashedAt{};
+    std::uint64_t Incarnation = 0;
     std::uint64_t Generation = 0;
     bool BelievesDuty = false;
   };
@@ -114,6 +136,7 @@
     message::RequestSpec Spec;
     std::string Key;
     unsigned NextToken = 0;
+    TimePoint StartedAt{};
   };
 
   struct Caller {
@@ -123,6 +146,8 @@
     std::uint64_t GatewayGeneration = 0;
     std::uint32_t Attempt = 1;
     std::string Text;
+    /// When the caller last sent its request or received a part of the answer.
+    TimePoint ActiveAt{};
     bool Fetching = false;
     bool Done = false;
     bool IsUnknown = false;
@@ -155,11 +180,15 @@
   void startBackendCall(std::size_t node, const node::CallBackend &call);
   void runBackends();
   void publishBackends();
+  void publishVmList();
   void endCall(const Running &it, node::BackendFailure failure);
   void onBytes(std::size_t node, const node::Bytes &bytes);
   void onRefuse(std::size_t node, const node::Refuse &refuse);
   void sendRequest(Caller &caller);
   void reconnectCallers();
+  void resendImpatiently();
+  bool isCut(std::size_t from, std::size_t to) const;
+  bool reachesKv(std::size_t node) const;
   Caller *callerOf(std::size_t node, std::uint64_t handle);
   std::size_t pickNode();
   Now now() const {
@@ -192,6 +221,9 @@
   unsigned LostAnswers = 0;
   std::size_t MapWrites = 0;
   TimePoint NextDuty{};
+  TimePoint NextVmList{};
+  Split Groups;
+  TimePoint SplitUntil{};
 };
 
 /// Text of a whole answer.
