Enforce customers' limits in the node

Cause: the limits package was not connected: nodes admitted everything.

Change: new requests pass limits::admit in the gateway; requests whose key the node already runs, reads or stores do not. A refusal of non-repeatable work closes the attempt first. Each admitted call is settled once, when it ends or turns out to be a replay. Nodes report demand every 500 ms to the owner of the shard of (customer, ""), which grants shares while the standby confirms its epoch: EpochProbe and EpochConfirm are new messages at the end of the list. The role of limit home follows the shard map and the contracts. A model request counts with its upper bound of tokens until it ends. Callers of the test driver wait for the stated retry time.

Conclusion: a stream that goes on after its caller has left no longer counts against the limit of concurrent streams. LimitOvershoot is not checked, since no node sees the sum.

--- a/packages/message/Message.h
+++ b/packages/message/Message.h
@@ -13,6 +13,8 @@
 #include "message/DocRequest.h"
 #include "message/DocUpdate.h"
 #include "message/End.h"
+#include "message/EpochConfirm.h"
+#include "message/EpochProbe.h"
 #include "message/Fetch.h"
 #include "message/Finish.h"
 #include "message/FinishReply.h"
@@ -39,7 +41,7 @@
     std::variant<Ping, PingRequest, Ack, DocUpdate, DocDigest, DocRequest, Submit, SubmitReply,
                  Mark, MarkReply, Progress, Finish, FinishReply, Close, CloseReply, Fetch, Chunk,
                  End, Handover, HandoverReply, StandbyReady, TableChunk, TableAck, DemandReport,
-                 ShareGrant, CrashReport, BackendNews>;
+                 ShareGrant, CrashReport, BackendNews, EpochProbe, EpochConfirm>;
 
 } // namespace chervil::message
 
--- a/packages/node/Call.h
+++ b/packages/node/Call.h
@@ -32,8 +32,10 @@
   message::Submit Request;
   std::vector<std::uint64_t> PrefixHashes;
   std::uint32_t PromptTokens = 0;
-  /// True if a stream slot of the customer's limit is held.
+  /// True if the call was admitted under the customer's limits and has not been settled.
   bool HoldsSlot = false;
+  /// Tokens for which it was admitted.
+  std::uint32_t AdmittedTokens = 0;
   /// Begin has been sent.
   bool Begun = false;
   /// Bytes delivered so far.
--- a/packages/node/Calls.cpp
+++ b/packages/node/Calls.cpp
@@ -24,6 +24,8 @@
   if (it == ctx.S.Calls.end())
     return;
   Call &call = it->second;
+  const auto run = ctx.S.Executions.find(call.Key);
+  settleCall(ctx, call, run != ctx.S.Executions.end() ? run->second.Record.Tokens : 0);
   if (call.Reader != 0)
     ctx.S.Readers.erase(call.Reader);
   if (const auto keyed = ctx.S.CallsByKey.find(call.Key); keyed != ctx.S.CallsByKey.end()) {
@@ -31,7 +33,7 @@
     if (keyed->second.empty())
       ctx.S.CallsByKey.erase(keyed);
   }
-  if (const auto run = ctx.S.Executions.find(call.Key); run != ctx.S.Executions.end())
+  if (run != ctx.S.Executions.end())
     std::erase(run->second.Callers, handle);
   ctx.S.Calls.erase(it);
 }
@@ -39,6 +41,7 @@
 void finishCall(Context &ctx, Call &call, std::uint16_t status, const std::string &contentType,
                 std::uint32_t tokens) {
   begin(ctx, call);
+  settleCall(ctx, call, tokens);
   emit(ctx, Finish{call.Handle, status, contentType, tokens});
   forgetCall(ctx, call.Handle);
 }
--- a/packages/node/Context.h
+++ b/packages/node/Context.h
@@ -77,6 +77,20 @@
                   std::chrono::milliseconds retryAfter = {});
 void tickCall(Context &ctx, Call &call);
 
+// Limits (Limits.cpp).
+/// Counts a new request against the limits of its customer. A refused call has been answered, or is
+/// being closed.
+bool admitCall(Context &ctx, Call &call, const Contract &contract);
+/// Ends the admission of a call, if it has one, with the tokens it used.
+void settleCall(Context &ctx, Call &call, std::uint32_t tokens);
+void onDemandReport(Context &ctx, const NodeId &from, const message::DemandReport &report);
+void onShareGrant(Context &ctx, const NodeId &from, const message::ShareGrant &grant);
+void onEpochProbe(Context &ctx, const NodeId &from, const message::EpochProbe &probe);
+void onEpochConfirm(Context &ctx, const NodeId &from, const message::EpochConfirm &confirm);
+/// Takes or gives up the role of limit home after a change of the shard map or the contracts.
+void updateHomes(Context &ctx);
+void tickLimits(Context &ctx);
+
 // Reading (Reading.cpp).
 void startReading(Context &ctx, Call &call, const NodeId &source);
 void onChunk(Context &ctx, const NodeId &from, const message::Chunk &chunk);
--- a/packages/node/Documents.cpp
+++ b/packages/node/Documents.cpp
@@ -27,6 +27,7 @@
   }
   ctx.S.Contracts[contract->Terms.Customer] = contract->Terms;
   ctx.S.Tokens.clear();
+  updateHomes(ctx);
 }
 
 void tickDocuments(Context &ctx) {
--- a/packages/node/Gateway.cpp
+++ b/packages/node/Gateway.cpp
@@ -199,6 +199,8 @@
   for (const std::uint64_t handle : waiting) {
     Call &call = ctx.S.Calls.at(handle);
     call.Replayed = true;
+    // Another call runs the request and pays for its tokens.
+    settleCall(ctx, call, 0);
     startReading(ctx, call, from);
   }
 }
@@ -270,7 +272,8 @@
     refuseNotRun(ctx, added, ResultCode::NodeLeaving, 100ms);
     return;
   }
-  ask(ctx, added);
+  if (admitCall(ctx, added, *contract))
+    ask(ctx, added);
 }
 
 void refuseNotRun(Context &ctx, Call &call, ResultCode code, std::chrono::milliseconds retryAfter) {
--- /dev/null
+++ b/packages/node/Limits.cpp
@@ -0,0 +1,140 @@
+#include "membership/Queries.h"
+#include "node/Context.h"
+
+#include <algorithm>
+#include <set>
+
+namespace chervil::node::detail {
+
+using message::WorkKind;
+
+namespace {
+
+limits::LimitsOf limitsOf(const State &state) {
+  return [&state](const std::string &customer) -> const ContractLimits * {
+    const auto it = state.Contracts.find(customer);
+    return it == state.Contracts.end() ? nullptr : &it->second.Limits;
+  };
+}
+
+/// The key whose shard decides the limit home of a customer.
+RequestKey homeKey(const std::string &customer) { return {customer, ""}; }
+
+/// True if this node already runs, waits for, or stores the key, so that the request is a replay.
+bool isKnownHere(const State &state, const Call &call) {
+  if (state.Executions.contains(call.Key) || state.Records.Records.contains(call.Key))
+    return true;
+  const auto keyed = state.CallsByKey.find(call.Key);
+  return keyed != state.CallsByKey.end() && keyed->second.size() > 1;
+}
+
+void sendReports(Context &ctx) {
+  const message::DemandReport all = limits::report(ctx.S.Limits.Node, limitsOf(ctx.S), ctx.Time);
+  std::map<NodeId, message::DemandReport> byHome;
+  for (const message::Demand &it : all.Demands)
+    if (const record::ShardView *shard = shardFor(ctx.S, homeKey(it.Customer));
+        shard != nullptr && isSet(shard->Owner))
+      byHome[shard->Owner].Demands.push_back(it);
+  for (auto &[home, report] : byHome)
+    sendTo(ctx, home, std::move(report));
+}
+
+/// Asks the standbys of the shards this node is limit home under.
+void sendProbes(Context &ctx) {
+  std::set<std::uint32_t> shards;
+  for (const auto &[customer, home] : ctx.S.Limits.Home.Customers)
+    if (!home.Demands.empty())
+      shards.insert(record::shardOf(ctx.S.Records, homeKey(customer)));
+  for (const std::uint32_t number : shards) {
+    const record::ShardView &shard = ctx.S.Records.Shards[number];
+    if (!isSet(shard.Standby))
+      continue;
+    const std::uint64_t seq = ctx.S.Limits.NextSeq++;
+    ctx.S.Limits.Probes[number] = {seq, shard.Epoch, ctx.Time.Steady};
+    sendTo(ctx, shard.Standby, message::EpochProbe{number, shard.Epoch, seq});
+  }
+}
+
+} // namespace
+
+bool admitCall(Context &ctx, Call &call, const Contract &contract) {
+  if (isKnownHere(ctx.S, call))
+    return true;
+  const auto &spec = call.Request.Record.Spec;
+  const std::uint32_t tokens = spec.Kind == WorkKind::Model ? spec.MaxTokens : 0;
+  const limits::Admission admission =
+      limits::admit(ctx.S.Limits.Node, contract.Customer, contract.Limits, tokens, ctx.Time);
+  if (admission.Code == ResultCode::Ok) {
+    call.HoldsSlot = true;
+    call.AdmittedTokens = tokens;
+    return true;
+  }
+  refuseNotRun(ctx, call, admission.Code,
+               std::chrono::ceil<std::chrono::milliseconds>(admission.RetryAfter));
+  return false;
+}
+
+void settleCall(Context &ctx, Call &call, std::uint32_t tokens) {
+  if (!call.HoldsSlot)
+    return;
+  call.HoldsSlot = false;
+  // Without a contract the limits of the customer are no longer kept.
+  if (const ContractLimits *contract = limitsOf(ctx.S)(call.Key.Customer); contract != nullptr)
+    limits::settle(ctx.S.Limits.Node, call.Key.Customer, *contract, call.AdmittedTokens, tokens,
+                   ctx.Time);
+}
+
+void onDemandReport(Context &ctx, const NodeId &from, const message::DemandReport &report) {
+  limits::onReport(ctx.S.Limits.Home, from, report, ctx.Time);
+}
+
+void onShareGrant(Context &ctx, const NodeId &from, const message::ShareGrant &grant) {
+  // A grant of a former home may arrive after the map has changed; it ends with its lifetime, which
+  // the new home waits out.
+  if (isAlive(ctx.S, from))
+    limits::onGrant(ctx.S.Limits.Node, grant, limitsOf(ctx.S), ctx.Time);
+}
+
+void onEpochProbe(Context &ctx, const NodeId &from, const message::EpochProbe &probe) {
+  if (probe.Shard >= ctx.S.Records.Shards.size())
+    return;
+  const record::ShardView &shard = ctx.S.Records.Shards[probe.Shard];
+  if (shard.Standby == ctx.S.Self && shard.Owner == from && shard.Epoch == probe.Epoch)
+    sendTo(ctx, from, message::EpochConfirm{probe.Shard, probe.Epoch, probe.Seq});
+}
+
+void onEpochConfirm(Context &ctx, const NodeId &from, const message::EpochConfirm &confirm) {
+  const auto probe = ctx.S.Limits.Probes.find(confirm.Shard);
+  if (probe == ctx.S.Limits.Probes.end() || probe->second.Seq != confirm.Seq ||
+      probe->second.Epoch != confirm.Epoch || confirm.Shard >= ctx.S.Records.Shards.size() ||
+      ctx.S.Records.Shards[confirm.Shard].Standby != from)
+    return;
+  for (const auto &[customer, home] : ctx.S.Limits.Home.Customers)
+    if (record::shardOf(ctx.S.Records, homeKey(customer)) == confirm.Shard)
+      limits::confirm(ctx.S.Limits.Home, customer, confirm.Epoch, probe->second.At);
+}
+
+void updateHomes(Context &ctx) {
+  std::erase_if(ctx.S.Limits.Home.Customers,
+                [&](const auto &it) { return !ctx.S.Contracts.contains(it.first); });
+  for (const auto &[customer, contract] : ctx.S.Contracts) {
+    const record::ShardView *shard = shardFor(ctx.S, homeKey(customer));
+    if (shard != nullptr && shard->Mine == record::Role::Owner)
+      limits::becomeHome(ctx.S.Limits.Home, customer, shard->Epoch, ctx.Time);
+    else
+      limits::resign(ctx.S.Limits.Home, customer);
+  }
+}
+
+void tickLimits(Context &ctx) {
+  if (ctx.Time.Steady < ctx.S.Limits.NextReport)
+    return;
+  ctx.S.Limits.NextReport = ctx.Time.Steady + limits::ReportInterval;
+  limits::setLiveNodes(ctx.S.Limits.Node, membership::live(ctx.S.Members).size(), ctx.Time);
+  sendReports(ctx);
+  sendProbes(ctx);
+  for (limits::HomeGrant &it : limits::grant(ctx.S.Limits.Home, limitsOf(ctx.S), ctx.Time))
+    sendTo(ctx, it.To, std::move(it.Body));
+}
+
+} // namespace chervil::node::detail
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -85,8 +85,10 @@
   void operator()(const message::TableAck &m) const {
     apply(Ctx, record::onTableAck(Ctx.S.Records, From, m, Ctx.Time));
   }
-  void operator()(const message::DemandReport &) const {}
-  void operator()(const message::ShareGrant &) const {}
+  void operator()(const message::DemandReport &m) const { onDemandReport(Ctx, From, m); }
+  void operator()(const message::ShareGrant &m) const { onShareGrant(Ctx, From, m); }
+  void operator()(const message::EpochProbe &m) const { onEpochProbe(Ctx, From, m); }
+  void operator()(const message::EpochConfirm &m) const { onEpochConfirm(Ctx, From, m); }
   void operator()(const message::CrashReport &) const {}
   void operator()(const message::BackendNews &m) const {
     routing::backendNews(Ctx.S.Routes, m, Ctx.Time);
@@ -162,6 +164,7 @@
     followOwner(ctx, execution);
   tickDocuments(ctx);
   tickShards(ctx);
+  tickLimits(ctx);
   tickLeaving(ctx);
 }
 
--- a/packages/node/NodeTest.cpp
+++ b/packages/node/NodeTest.cpp
@@ -125,6 +125,51 @@
   checkSafe(report);
 }
 
+// Guards against limits that nodes do not enforce, whose sum over the nodes exceeds the contract,
+// and whose granted part never reaches the nodes with demand.
+BOOST_AUTO_TEST_CASE(RequestRateStaysWithinTheContract) {
+  DriverOptions options = small();
+  options.Limits.RequestsPerSecond = 40;
+  NodeDriver driver(options, 7);
+  driver.runFor(15s);
+  // Twice the rate of the contract.
+  std::vector<std::size_t> starts;
+  for (int second = 0; second < 15; ++second) {
+    for (int part = 0; part < 10; ++part) {
+      callMany(driver, "m" + std::to_string(10 * second + part) + ".", 8, true, 2);
+      driver.runFor(100ms);
+    }
+    starts.push_back(driver.backendStarts());
+  }
+  BOOST_TEST(starts.back() <= 40U * 16);
+  // Shares are granted by then; the static floor alone would allow a fifth of the rate.
+  const std::size_t later = starts[14] - starts[4];
+  BOOST_TEST_MESSAGE("in 10 s " << later << " of 400 requests were started");
+  BOOST_TEST(later <= 40U * 11);
+  BOOST_TEST(later >= 40U * 7);
+  checkSafe(driver.report());
+}
+
+// Guards against stream slots that are not given back when calls end, or given back twice.
+BOOST_AUTO_TEST_CASE(EndedCallsGiveTheirSlotsBack) {
+  NodeDriver driver(small(), 8);
+  driver.runFor(15s);
+  callMany(driver, "m", 40, true, 100);
+  callMany(driver, "s", 40, false);
+  driver.runFor(200ms);
+  const auto slots = [&] {
+    std::size_t n = 0;
+    for (std::size_t i = 0; i < small().Nodes; ++i)
+      for (const auto &[customer, it] : driver.state(i).Limits.Node.Customers)
+        n += it.Streams;
+    return n;
+  };
+  BOOST_TEST(slots() >= 40U);
+  driver.runFor(10s);
+  BOOST_TEST(driver.report().Whole == 80U);
+  BOOST_TEST(slots() == 0U);
+}
+
 namespace {
 
 struct Fault {
--- a/packages/node/Shards.cpp
+++ b/packages/node/Shards.cpp
@@ -105,6 +105,7 @@
     views.push_back(viewOf(it, ctx.S.Self));
   const record::IsAlive alive = [&](const NodeId &id) { return isAlive(ctx.S, id); };
   apply(ctx, record::onShards(ctx.S.Records, std::move(views), alive, ctx.Time));
+  updateHomes(ctx);
   for (auto &[key, execution] : ctx.S.Executions)
     followOwner(ctx, execution);
 }
--- a/packages/node/State.h
+++ b/packages/node/State.h
@@ -4,6 +4,8 @@
 
 #include "config/Store.h"
 #include "contract/Contract.h"
+#include "limits/Home.h"
+#include "limits/NodeLimits.h"
 #include "membership/Membership.h"
 #include "membership/Queries.h"
 #include "node/Call.h"
@@ -34,6 +36,23 @@
   std::map<NodeId, message::StandbyReady> Ready;
 };
 
+/// A request for confirmation sent to the standby of a shard.
+struct SentProbe {
+  std::uint64_t Seq = 0;
+  std::uint64_t Epoch = 0;
+  TimePoint At{};
+};
+
+/// Limits of customers: what this node may admit, and the shares it grants as limit home.
+struct LimitsState {
+  limits::NodeLimits Node;
+  limits::Home Home;
+  /// Latest probe by shard.
+  std::map<std::uint32_t, SentProbe> Probes;
+  std::uint64_t NextSeq = 1;
+  TimePoint NextReport{};
+};
+
 /// Set once the node is to stop.
 struct LeavingState {
   WallTime By{};
@@ -55,6 +74,7 @@
   record::State Records;
   routing::State Routes;
   ShardDutyState Duty;
+  LimitsState Limits;
   /// VMs that the platform's list shows as gone, with the latest time for which it does; bounded.
   std::map<std::string, WallTime> GoneVms;
   std::optional<LeavingState> Leaving;
--- a/packages/testing/NodeDriver.cpp
+++ b/packages/testing/NodeDriver.cpp
@@ -25,11 +25,11 @@
   return key + "#" + std::to_string(i) + " ";
 }
 
-std::string contractBody() {
+std::string contractBody(const ContractLimits &limits) {
   Contract contract;
   contract.Customer = "acme";
   contract.Keys = {"secret-token-of-acme"};
-  contract.Limits = {100000, 10000000, 100000};
+  contract.Limits = limits;
   contract.CostPerHour = 1000;
   contract.Models = {{"model", 1024, WorkLength::Long, {}}};
   ServiceTerms service;
@@ -73,7 +73,7 @@
   for (std::size_t i = 0; i < Slots.size(); ++i)
     seeds.push_back(addressOf(i));
   slot.State = node::makeState(std::move(self), seeds, Options.Parts, now());
-  post(node, node::Document{"config/contracts/acme", 1, contractBody()}, 0ms);
+  post(node, node::Document{"config/contracts/acme", 1, contractBody(Options.Limits)}, 0ms);
   post(node, node::Tick{}, 1ms);
   publishBackends();
 }
@@ -304,6 +304,7 @@
   if (call.Spec.Kind == message::WorkKind::Service && !call.Spec.Repeatable)
     ++Executions[call.Key];
   running.StartedAt = Clock;
+  ++BackendStarts;
   Calls.push_back(std::move(running));
 }
 
@@ -388,7 +389,7 @@
     return;
   for (auto &[key, caller] : Callers) {
     const Slot &slot = Slots[caller.Gateway];
-    if (caller.Done || caller.Tries > MaxTries ||
+    if (caller.Done || caller.Tries > MaxTries || Clock < caller.NotBefore ||
         (slot.Up && slot.Generation == caller.GatewayGeneration))
       continue;
     caller.Gateway = pickNode();
@@ -403,7 +404,8 @@
   if (Options.CallerPatience == 0ms || Clock.time_since_epoch() % 50ms != 0ms)
     return;
   for (auto &[key, caller] : Callers) {
-    if (caller.Done || caller.Tries > MaxTries || Clock - caller.ActiveAt < Options.CallerPatience)
+    if (caller.Done || caller.Tries > MaxTries || Clock < caller.NotBefore ||
+        Clock - caller.ActiveAt < Options.CallerPatience)
       continue;
     caller.Gateway = pickNode();
     caller.Fetching = caller.Request.Repeatable && !caller.Text.empty();
@@ -435,6 +437,7 @@
   if (caller == nullptr)
     return;
   caller->LastCode = refuse.Code;
+  caller->NotBefore = Clock + refuse.RetryAfter;
   if (refuse.Result == Outcome::NotRun && !caller->Request.Repeatable) {
     if (Executions[caller->Request.Key] > 0)
       Violations.push_back("not_run for executed key " + caller->Request.Key);
--- a/packages/testing/NodeDriver.h
+++ b/packages/testing/NodeDriver.h
@@ -35,6 +35,7 @@
   /// Callers that see no progress for this long send the same key and attempt to another node,
   /// while their former connection stays open; zero for callers that wait.
   std::chrono::milliseconds CallerPatience{0};
+  ContractLimits Limits{100000, 10000000, 100000};
   node::PartOptions Parts;
 };
 
@@ -105,6 +106,8 @@
   bool isUp(std::size_t node) const { return Slots[node].Up; }
   const node::State &state(std::size_t node) const { return *Slots[node].State; }
   std::size_t mapWrites() const { return MapWrites; }
+  /// Requests that back ends have begun to run.
+  std::size_t backendStarts() const { return BackendStarts; }
   Report report() const;
 
 private:
@@ -148,6 +151,8 @@
     std::string Text;
     /// When the caller last sent its request or received a part of the answer.
     TimePoint ActiveAt{};
+    /// A refused caller comes back after the time the refusal states.
+    TimePoint NotBefore{};
     bool Fetching = false;
     bool Done = false;
     bool IsUnknown = false;
@@ -220,6 +225,7 @@
   TimePoint OutageUntil{};
   unsigned LostAnswers = 0;
   std::size_t MapWrites = 0;
+  std::size_t BackendStarts = 0;
   TimePoint NextDuty{};
   TimePoint NextVmList{};
   Split Groups;
--- a/packages/wire/detail/Fields.h
+++ b/packages/wire/detail/Fields.h
@@ -111,6 +111,10 @@
 template <Is<message::BackendNews> M> auto fields(M &m) {
   return std::tie(m.Backend, m.Seq, m.SlowFactor, m.Leaving);
 }
+template <Is<message::EpochProbe> M> auto fields(M &m) { return std::tie(m.Shard, m.Epoch, m.Seq); }
+template <Is<message::EpochConfirm> M> auto fields(M &m) {
+  return std::tie(m.Shard, m.Epoch, m.Seq);
+}
 
 /// A struct with a list of fields above.
 template <typename T>
