--- a/packages/ctl/admin/CommandFixture.h
+++ b/packages/ctl/admin/CommandFixture.h
@@ -96,7 +96,8 @@
   std::thread Thread;
 };
 
-inline std::string refusal(const char *name, nlohmann::json more = nlohmann::json::object()) {
+inline std::string refusal(const char *name,
+                           const nlohmann::json &more = nlohmann::json::object()) {
   nlohmann::json error = {{"code", 1}, {"name", name}, {"outcome", "not_run"}, {"message", "why"}};
   error.update(more);
   return nlohmann::json{{"error", error}}.dump();
--- a/packages/ctl/admin/ContractPut.cpp
+++ b/packages/ctl/admin/ContractPut.cpp
@@ -25,7 +25,7 @@
 }
 
 std::string authorOf(const Args &args) {
-  if (const std::string author = textOf(args, "--author"); !author.empty())
+  if (std::string author = textOf(args, "--author"); !author.empty())
     return author;
   const char *user = std::getenv("USER");
   return user == nullptr || *user == '\0' ? "unknown" : user;
--- a/packages/daemon/AdminActions.cpp
+++ b/packages/daemon/AdminActions.cpp
@@ -139,7 +139,7 @@
   if (api.Node->Leaving)
     by = std::min(by, api.Node->Leaving->By);
   answerJson(api, request.Id, {{"node", api.Node->Self.Name}, {"leave_by_ms", millis(by)}});
-  api.Deliver(node::Leave{by});
+  api.Leave(time);
 }
 
 void onExplain(AdminApi &api, const net::HttpRequest &request) {
--- a/packages/daemon/AdminApi.h
+++ b/packages/daemon/AdminApi.h
@@ -2,7 +2,8 @@
 //   AdminApi api{.Node = &state, .Platform = client.get(), .Server = server.get(),
 //                .Timers = &timers, .Rng = &rng, .Token = settings.Node.AdminToken,
 //                .Metrics = [&] { return metricsText(); },
-//                .Deliver = [&](node::Event e) { ... }};
+//                .Deliver = [&](node::Event e) { ... },
+//                .Leave = [&](std::chrono::milliseconds within) { ... }};
 //   onRequest(api, request);
 // One thread, that of the loop. Pending calls of the platform client and the timers refer to the
 // interface: destroy the client and the timers first.
@@ -17,6 +18,7 @@
 #include "node/State.h"
 #include "platform/PlatformClient.h"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -35,8 +37,10 @@
   std::string Token;
   /// Text of /metrics in the Prometheus format.
   std::function<std::string()> Metrics;
-  /// Receives node::Document for an accepted change and node::Leave for a drain.
+  /// Receives a node::Document for each accepted change.
   std::function<void(node::Event)> Deliver;
+  /// Starts the graceful stop of the process, as SIGTERM does, with this time for it.
+  std::function<void(std::chrono::milliseconds within)> Leave;
   /// Counts a refusal; may be empty.
   std::function<void(ResultCode)> CountRefusal;
   std::function<Now()> Clock = net::readNow;
--- a/packages/daemon/AdminFixture.h
+++ b/packages/daemon/AdminFixture.h
@@ -31,6 +31,7 @@
   Random Rng{1};
   node::State State;
   std::vector<node::Event> Delivered;
+  std::vector<std::chrono::milliseconds> Drains;
   std::vector<ResultCode> Refused;
   AdminApi Api;
   /// Destroyed before Api.
@@ -62,6 +63,7 @@
     Api.Token = "admin-token";
     Api.Metrics = [] { return std::string("chervil_up 1\n"); };
     Api.Deliver = [this](node::Event e) { Delivered.push_back(std::move(e)); };
+    Api.Leave = [this](std::chrono::milliseconds within) { Drains.push_back(within); };
     Api.CountRefusal = [this](ResultCode code) { Refused.push_back(code); };
   }
 
