--- a/packages/base/ResultCode.h
+++ b/packages/base/ResultCode.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <span>
+#include <string>
 
 namespace chervil {
 
@@ -84,6 +85,8 @@
   Outcome Result;
   /// True if the same request may succeed later.
   bool Retry;
+  /// When the code is given and what a caller does, as one sentence for docs/result-codes.md.
+  const char *Meaning;
 };
 
 /// Properties of `code`; those of Internal for a number not in the table.
@@ -92,6 +95,9 @@
 /// All codes in ascending order.
 std::span<const ResultCodeInfo> allResultCodes();
 
+/// The table of all codes as Markdown: docs/result-codes.md.
+std::string describeResultCodes();
+
 } // namespace chervil
 
 #endif
