daemon: serve the operators' interface on the admin address

Cause: the daemon answered only health checks and metrics there.

Change: Daemon binds AdminApi, with a random source of its own and the graceful stop of SIGTERM for a drain. Accepted changes are logged under `config:`.

Measured: daemon_test passes.

--- a/packages/daemon/AdminApi.h
+++ b/packages/daemon/AdminApi.h
@@ -6,7 +6,7 @@
 //                .Leave = [&](std::chrono::milliseconds within) { ... }};
 //   onRequest(api, request);
 // One thread, that of the loop. Pending calls of the platform client and the timers refer to the
-// interface: destroy the client and the timers first.
+// interface, so the loop must not run without it.
 #ifndef CHERVIL_DAEMON_ADMINAPI_H
 #define CHERVIL_DAEMON_ADMINAPI_H
 
--- a/packages/daemon/AdminChange.cpp
+++ b/packages/daemon/AdminChange.cpp
@@ -1,6 +1,8 @@
 #include "daemon/AdminDetail.h"
 #include "platform/KvClient.h"
 
+#include <glog/logging.h>
+
 namespace chervil::daemon::detail {
 namespace {
 
@@ -68,6 +70,8 @@
   if (document && document->Change.Version == accepted.Version && api.Deliver)
     api.Deliver(node::Document{config::contractKey(run.State.Request.Terms.Customer),
                                accepted.Version, run.Document});
+  LOG(INFO) << "config: contract " << run.State.Request.Terms.Customer << " has version "
+            << accepted.Version << " by an operator's change.";
   answerJson(api, run.RequestId,
              {{"version", accepted.Version}, {"change_id", run.State.Request.Id}});
 }
--- a/packages/daemon/Daemon.cpp
+++ b/packages/daemon/Daemon.cpp
@@ -2,7 +2,6 @@
 
 #include "daemon/NodeOptions.h"
 #include "daemon/ProcessUsage.h"
-#include "daemon/Refusal.h"
 #include "membership/Queries.h"
 #include "net/SocketAddress.h"
 
@@ -176,38 +175,17 @@
   return {};
 }
 
-void onAdminRequest(Daemon &daemon, const net::HttpRequest &request) {
-  net::HttpServer &server = *daemon.AdminServer;
-  if (request.Path == "/metrics") {
-    net::respond(server, request.Id,
-                 {.ContentType = "text/plain; version=0.0.4", .Body = metricsText(daemon)});
-    return;
-  }
-  if (request.Path == "/healthz") {
-    net::respond(server, request.Id, {.ContentType = "text/plain", .Body = "ok\n"});
-    return;
-  }
-  if (request.Path == "/readyz") {
-    const bool ready = node::isReady(daemon.Node) && !daemon.Node.Leaving;
-    net::respond(server, request.Id,
-                 {.Status = ready ? 200 : 503,
-                  .ContentType = "text/plain",
-                  .Body = ready ? "ready\n" : "not ready\n"});
-    return;
-  }
-  net::respond(server, request.Id, refusalResponse(Error{ResultCode::NotFound, "no such path"}));
-}
-
 Result<void> startAdminServer(Daemon &daemon) {
   auto options = serverOptions(daemon, daemon.Settings.Node.AdminListen);
   if (!options)
     return tl::make_unexpected(options.error());
   auto server = net::startHttpServer(
       daemon.Loop, std::move(*options),
-      {.OnRequest = [&daemon](net::HttpRequest &&r) { onAdminRequest(daemon, r); }});
+      {.OnRequest = [&daemon](net::HttpRequest &&r) { onRequest(daemon.Admin, r); }});
   if (!server)
     return tl::make_unexpected(server.error());
   daemon.AdminServer = std::move(*server);
+  daemon.Admin.Server = daemon.AdminServer.get();
   return {};
 }
 
@@ -234,6 +212,21 @@
   };
 }
 
+void bindAdmin(Daemon &daemon) {
+  AdminApi &admin = daemon.Admin;
+  admin.Node = &daemon.Node;
+  admin.Platform = daemon.Platform.get();
+  admin.Timers = &daemon.Timers;
+  admin.Rng = &daemon.AdminRng;
+  admin.Token = daemon.Settings.Node.AdminToken;
+  admin.Metrics = [&daemon] { return metricsText(daemon); };
+  admin.Deliver = [&daemon](node::Event event) { deliver(daemon, std::move(event)); };
+  admin.Leave = [&daemon](std::chrono::milliseconds within) { leave(daemon, within); };
+  admin.CountRefusal = [&daemon](ResultCode code) {
+    count(daemon.Counters, "refused", info(code).Name);
+  };
+}
+
 platform::PlatformOptions platformOptions(const NodeSettings &settings, std::uint64_t seed) {
   platform::PlatformOptions options;
   options.KvUrl = settings.Platform.KvUrl;
@@ -251,6 +244,7 @@
 Daemon::Daemon(NodeSettings settings) : Settings(std::move(settings)) {
   const Now now = net::readNow();
   Rng.seed(seedOf(Settings, now));
+  AdminRng.seed(Rng());
   Node = node::makeState(selfOf(Settings, now), Settings.Node.Seeds, nodeOptions(Settings), now);
   Http = net::makeHttpClient(Loop, {.MaxIdleConnections = 1024, .CaFile = Settings.Tls.Ca});
   Platform = platform::makePlatformClient(Loop, Timers, platformOptions(Settings, Rng()));
@@ -258,6 +252,7 @@
 
 Result<void> start(Daemon &daemon) {
   bindParts(daemon);
+  bindAdmin(daemon);
   for (const auto step : {startPeers, startCallerServer, startAdminServer})
     if (Result<void> ok = step(daemon); !ok)
       return ok;
--- a/packages/daemon/Daemon.h
+++ b/packages/daemon/Daemon.h
@@ -6,6 +6,7 @@
 #define CHERVIL_DAEMON_DAEMON_H
 
 #include "base/Error.h"
+#include "daemon/AdminApi.h"
 #include "daemon/BackendClient.h"
 #include "daemon/CallerApi.h"
 #include "daemon/Metrics.h"
@@ -41,6 +42,8 @@
   PlatformFeed Feed;
   BackendClient Backends;
   CallerApi Callers;
+  Random AdminRng;
+  AdminApi Admin;
   net::PeerTransportPtr Peers;
   net::HttpServerPtr CallerServer;
   net::HttpServerPtr AdminServer;
