--- a/packages/ctl/admin/CheckCommand.cpp
+++ b/packages/ctl/admin/CheckCommand.cpp
@@ -15,7 +15,8 @@
   chervilctl check --contract FILE [--json]
 
 Options:
-  --contract   FILE is a contract (JSON); otherwise it holds a node's settings.
+  --contract   FILE is a contract (JSON), alone or as printed by contracts get; otherwise it holds
+               a node's settings.
   --json       Print JSON.
   -h --help    Show this text.
 
@@ -44,7 +45,10 @@
 }
 
 int checkContract(const std::string &text, const std::string &path, bool json, Streams io) {
-  const Result<Contract> contract = parseContract(text);
+  // As readContractFile() does, for documents printed by `contracts get`.
+  const nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
+  const bool wrapped = document.is_object() && document.contains("contract");
+  const Result<Contract> contract = parseContract(wrapped ? document["contract"].dump() : text);
   nlohmann::json faults = nlohmann::json::array();
   if (!contract) {
     std::size_t at = 0;
--- a/packages/ctl/admin/CommandsTest.cpp
+++ b/packages/ctl/admin/CommandsTest.cpp
@@ -118,6 +118,10 @@
   BOOST_TEST(run(checkCommand, {"check", "--contract", contract}, "none") == 2);
   BOOST_TEST(printed(contract + ": priority"));
   BOOST_TEST(printed(contract + ": other"));
+  const std::string document = file(R"({"version":1,"contract":{"customer":"acme","other":1}})");
+  BOOST_TEST(run(checkCommand, {"check", "--contract", document}, "none") == 2);
+  BOOST_TEST(printed(document + ": other"));
+  BOOST_TEST(!printed(document + ": version"));
   BOOST_TEST(run(checkCommand, {"check", "no-such-file"}, "none") == 2);
   BOOST_TEST(run(checkCommand, {"check"}, "none") == 2);
   BOOST_TEST(run(checkCommand, {"check", "--help"}, "none") == 0);
