Repair member lists by digest and exchange; settle on evidence

Cause: a trace of 320 nodes that start together shows 947 missing entries at 6 s, 83 at 8 s and 6 at 10 s, the end of the join time. No news is left about these, so that only repair updates fill them: 2 lists were incomplete at 60 s and the last until 204 s. Such a late entry is also the single change seen in a fleet in steady state (member 184 in the list of node 89 at 135 s, member 129 in that of node 224 at 204 s). At 10% loss 81 members are suspected in 60 s, and each suspicion and refutation is sent up to 18 times by each node.

Change: probes and acks carry a digest of the list. On a difference the nodes exchange bucket hashes and the members of buckets that differ (new message MemberExchange). Deaths in an exchange become suspicions. News that others repeat counts as sent, refutations excepted: with fewer refutations 2 lists showed a false death at 10% loss. A suspect is probed twice more before it is declared dead, because one such death in 15 simulated minutes also occurred without that change. isSettled needs agreement of three peers. A silent region is probed first; unreachableRegions reports it, and assignment of shards leaves its shards as they are.

Tests: AllStartTogether runs again with its bound; the bound of 60 s for parted regions is restored; the size model counts the digest; the unknown type in WrongContentIsRejected is the number of types, not 27.

--- /dev/null
+++ b/packages/membership/Digest.cpp
@@ -0,0 +1,36 @@
+#include "membership/Digest.h"
+
+#include "base/Hash.h"
+#include "membership/Queries.h"
+
+namespace chervil::membership {
+
+namespace {
+
+/// Odd constant of splitmix64; spreads the deadline over the whole seed.
+constexpr std::uint64_t Spread = 0x9e3779b97f4a7c15ULL;
+
+std::uint64_t hashOf(const message::MemberUpdate &info) {
+  const auto leaveBy = static_cast<std::uint64_t>(info.LeaveBy.time_since_epoch().count());
+  return hashBytes(info.Id.Name, info.Id.Incarnation ^ (leaveBy * Spread));
+}
+
+} // namespace
+
+std::size_t digestBucket(std::string_view name) { return hashBytes(name) % DigestBuckets; }
+
+Digest makeDigest(const State &state) {
+  Digest digest;
+  digest.Buckets.resize(DigestBuckets);
+  for (const auto &[name, it] : state.Members) {
+    if (!isLive(it))
+      continue;
+    const std::uint64_t hash = hashOf(it.Info);
+    ++digest.Count;
+    digest.Hash ^= hash;
+    digest.Buckets[digestBucket(name)] ^= static_cast<std::uint32_t>(hash >> 32);
+  }
+  return digest;
+}
+
+} // namespace chervil::membership
--- a/packages/membership/FleetTest.cpp
+++ b/packages/membership/FleetTest.cpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <queue>
+#include <set>
 
 using namespace chervil;
 using namespace chervil::membership;
@@ -36,13 +37,15 @@
   return n;
 }
 
-/// Frame length, array header, type, number and document hash, subject or target.
+/// Frame length, array header, type, number, document hash and digest, subject or target.
 std::size_t bytesOf(const message::Message &m) {
-  constexpr std::size_t header = 4 + 1 + 1 + 5 + 9;
+  constexpr std::size_t header = 4 + 1 + 1 + 5 + 9 + 3 + 9;
   if (const auto *ping = std::get_if<message::Ping>(&m))
     return header + bytesOf(ping->Updates);
   if (const auto *ack = std::get_if<message::Ack>(&m))
     return header + text(ack->Subject.Name) + 9 + bytesOf(ack->Updates);
+  if (const auto *exchange = std::get_if<message::MemberExchange>(&m))
+    return 4 + 1 + 1 + 3 + 5 * exchange->Buckets.size() + bytesOf(exchange->Updates) + 2;
   const auto &request = std::get<message::PingRequest>(m);
   return header + text(request.Target.Name) + 9 + bytesOf(request.Updates);
 }
@@ -52,6 +55,8 @@
     return ping->Updates.size();
   if (const auto *ack = std::get_if<message::Ack>(&m))
     return ack->Updates.size();
+  if (const auto *exchange = std::get_if<message::MemberExchange>(&m))
+    return exchange->Updates.size();
   return std::get<message::PingRequest>(m).Updates.size();
 }
 
@@ -202,6 +207,8 @@
       apply(it.To, onPing(node.Membership, sender.Id, sender.PeerAddress, *ping, now(), Rng));
     else if (const auto *ack = std::get_if<message::Ack>(it.Body.get()))
       apply(it.To, onAck(node.Membership, sender.Id, sender.PeerAddress, *ack, now(), Rng));
+    else if (const auto *exchange = std::get_if<message::MemberExchange>(it.Body.get()))
+      apply(it.To, onExchange(node.Membership, sender.Id, sender.PeerAddress, *exchange, now()));
     else
       apply(it.To, onPingRequest(node.Membership, sender.Id, sender.PeerAddress,
                                  std::get<message::PingRequest>(*it.Body), now(), Rng));
@@ -248,9 +255,9 @@
 
 BOOST_AUTO_TEST_SUITE(Fleets)
 
-// Guards against incomplete lists after all nodes start together. Fails at full size, see
-// KNOWN-RED.txt; run it by name.
-BOOST_AUTO_TEST_CASE(AllStartTogether, *boost::unit_test::disabled()) {
+// Guards against incomplete lists after all nodes start together: acks to joining nodes alone left
+// single members out of 2 lists for minutes.
+BOOST_AUTO_TEST_CASE(AllStartTogether) {
   Fleet fleet(FullSize);
   const Ms joined = fleet.settle(60s);
   BOOST_TEST_MESSAGE(fleet.agreeing() << " of " << FullSize << " lists are complete after "
@@ -301,6 +308,44 @@
   BOOST_TEST((known <= 20s));
 }
 
+// Guards against a joining node that takes 10 s or more to be allowed duties, and against one that
+// is allowed them before it knows every member.
+BOOST_AUTO_TEST_CASE(JoiningNodeSettlesInTenSeconds) {
+  for (std::size_t trial = 0; trial < 3; ++trial) {
+    Fleet fleet = settledFleet();
+    fleet.Loss = trial == 2 ? 0.1 : 0;
+    const std::size_t i = fleet.add(trial, Birth + 1);
+    Ms taken{0};
+    while (!isSettled(fleet.Nodes[i].Membership, fleet.now()) && taken < 30s) {
+      fleet.run(50ms);
+      taken += 50ms;
+    }
+    BOOST_TEST_MESSAGE("a joining node is settled after " << taken.count() << " ms, loss "
+                                                          << fleet.Loss);
+    BOOST_TEST((taken < 10s));
+    BOOST_TEST(live(fleet.Nodes[i].Membership).size() == FullSize + 1);
+  }
+}
+
+// Guards against a small deployment that takes 5 s or more from its first start to be settled, and
+// against nodes of it that are settled with an incomplete list.
+BOOST_AUTO_TEST_CASE(SmallFleetSettlesInFiveSeconds) {
+  for (std::size_t n = 4; n <= 9; ++n) {
+    Fleet fleet(n, n);
+    Ms taken{0};
+    const auto settled = [&](const SimNode &it) { return isSettled(it.Membership, fleet.now()); };
+    while (!std::ranges::all_of(fleet.Nodes, settled) && taken < 30s) {
+      fleet.run(50ms);
+      taken += 50ms;
+      for (const SimNode &it : fleet.Nodes)
+        if (settled(it))
+          BOOST_TEST(live(it.Membership).size() == n);
+    }
+    BOOST_TEST_MESSAGE(n << " nodes are settled after " << taken.count() << " ms");
+    BOOST_TEST((taken < 5s));
+  }
+}
+
 // Guards against `leaving` taking 2 s or more to reach 320 nodes (design, 5), with and without
 // message loss.
 BOOST_AUTO_TEST_CASE(LeavingReachesAllInTwoSeconds) {
@@ -408,6 +453,8 @@
                      << most / 60 << " B/s per node");
   BOOST_TEST(dead == 0U);
   BOOST_TEST(most / 60 < 3000U);
+  for (const SimNode &it : fleet.Nodes)
+    BOOST_TEST(unreachableRegions(it.Membership, fleet.now()).empty());
   fleet.Loss = 0;
   fleet.ExtraDelay = 0ms;
   fleet.settle(60s);
@@ -447,13 +494,27 @@
       });
     });
   };
+  const auto apartFrom = [](const SimNode &it) {
+    return it.Region == 0 ? std::set<std::string>{"region-1", "region-2"}
+                          : std::set<std::string>{"region-0"};
+  };
+  const auto unreachable = [&](const SimNode &it) {
+    return unreachableRegions(it.Membership, fleet.now());
+  };
+  for (const SimNode &it : fleet.Nodes)
+    BOOST_TEST(unreachable(it).empty());
   const Ms begin = fleet.Time;
-  while (!separated() && fleet.Time - begin < 120s)
+  fleet.run(6s);
+  for (const SimNode &it : fleet.Nodes)
+    BOOST_TEST((unreachable(it) == apartFrom(it)));
+  while (!separated() && fleet.Time - begin < 60s)
     fleet.run(500ms);
   const Ms parted = fleet.Time - begin;
   BOOST_TEST(separated());
   fleet.run(20s);
   BOOST_TEST(separated());
+  for (const SimNode &it : fleet.Nodes)
+    BOOST_TEST((unreachable(it) == apartFrom(it)));
   fleet.Apart = [](auto, auto) { return false; };
   for (auto &it : fleet.Nodes)
     it.BytesSent = 0;
@@ -468,6 +529,8 @@
                      << most * 1000 / static_cast<std::size_t>(healed.count() + 1)
                      << " B/s per node");
   BOOST_TEST((healed < 120s));
+  for (const SimNode &it : fleet.Nodes)
+    BOOST_TEST(unreachable(it).empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/membership/Membership.cpp
+++ b/packages/membership/Membership.cpp
@@ -60,6 +60,30 @@
   return member.Info.State == MemberState::Alive && recent ? member.Info : compact(member.Info);
 }
 
+/// The digest of the present list.
+const Digest &refreshDigest(State &state, const Now &now) {
+  if (!std::exchange(state.DigestStale, false))
+    return state.List;
+  const std::uint64_t before = state.List.Hash;
+  state.List = makeDigest(state);
+  if (state.List.Hash != before)
+    state.ListChanged = now.Steady;
+  return state.List;
+}
+
+void hearRegion(State &state, const std::string &region, const Now &now) {
+  if (!region.empty())
+    state.Heard[region] = now.Steady;
+}
+
+/// Counts news that others already pass on like a message of this node's own. Without this, each
+/// suspicion and refutation was sent 18 times by each of 320 nodes.
+void countHeard(State &state, const std::string &name) {
+  const auto it = state.Queue.find(name);
+  if (it != state.Queue.end() && ++it->second >= sendLimit(state, state.Members.at(name).Info))
+    state.Queue.erase(it);
+}
+
 /// News about this node itself needs no queue: every probe and ack carries it.
 void enqueue(State &state, const std::string &name) {
   if (name != state.SelfName)
@@ -75,6 +99,8 @@
   if (member.Info.State != next) {
     member.Info.State = next;
     member.Since = now.Steady;
+    member.Confirmations = 0;
+    state.DigestStale = true;
     effects.Changes.push_back({member.Info.Id, next});
   }
   enqueue(state, member.Info.Id.Name);
@@ -88,13 +114,15 @@
   return true;
 }
 
-void fillPlace(MemberUpdate &info, const MemberUpdate &u) {
+/// True if the place and addresses were missing and are now known.
+bool fillPlace(MemberUpdate &info, const MemberUpdate &u) {
   if (!info.PeerAddress.empty() || u.PeerAddress.empty())
-    return;
+    return false;
   info.Region = u.Region;
   info.DataCentre = u.DataCentre;
   info.PeerAddress = u.PeerAddress;
   info.CallerAddress = u.CallerAddress;
+  return true;
 }
 
 void markLeaving(State &state, Member &member, WallTime leaveBy, const Now &now, Effects &effects) {
@@ -102,6 +130,7 @@
     return;
   if (member.Info.State == MemberState::Alive)
     setState(state, member, MemberState::Leaving, now, effects);
+  state.DigestStale = true;
   enqueueLeaving(state, member.Info.Id.Name);
 }
 
@@ -136,7 +165,11 @@
   enqueue(state, u.Id.Name);
   if (leaveBy != WallTime{} && member.Info.State != MemberState::Dead)
     enqueueLeaving(state, u.Id.Name);
+  hearRegion(state, u.Region, now);
   state.Members[u.Id.Name] = std::move(member);
+  state.DigestStale = true;
+  // Peers that agreed so far did so on an incomplete list.
+  state.Agreeing.clear();
 }
 
 /// Merges one statement. `direct` is true when the subject itself made it. True if this node
@@ -165,13 +198,26 @@
     addMember(state, u, leaveBy, now, effects);
     return false;
   }
-  fillPlace(known.Info, u);
+  if (fillPlace(known.Info, u)) {
+    state.DigestStale = true;
+    state.Heard.try_emplace(u.Region, now.Steady);
+  }
   const bool newer = u.Refutation > known.Info.Refutation;
   const bool overrides = newer || (u.Refutation == known.Info.Refutation &&
                                    rankOf(u.State) > rankOf(known.Info.State));
   if (newer || (direct && u.Refutation == known.Info.Refutation))
     known.Info.Load = u.Load;
   markLeaving(state, known, leaveBy, now, effects);
+  // Only the member itself raises its counter, so it was reachable for somebody.
+  if (newer && rankOf(u.State) == 0)
+    hearRegion(state, known.Info.Region, now);
+  const bool same = u.Refutation == known.Info.Refutation &&
+                    rankOf(u.State) == rankOf(known.Info.State) && leaveBy == known.Info.LeaveBy;
+  // A refutation has to reach every member within the suspicion time and keeps all its messages:
+  // with fewer, 2 of 320 nodes declared a live member dead at 10% loss.
+  const bool refutation = rankOf(u.State) == 0 && u.Refutation > 0;
+  if (!direct && same && !refutation)
+    countHeard(state, u.Id.Name);
   if (overrides) {
     known.Info.Refutation = u.Refutation;
     setState(state, known, rankOf(u.State) > 0 ? u.State : liveState(known.Info), now, effects);
@@ -238,10 +284,15 @@
   return updates;
 }
 
+message::Ping makePing(State &state, std::uint64_t seq, std::vector<MemberUpdate> updates,
+                       const Now &now) {
+  const Digest &list = refreshDigest(state, now);
+  return {seq, std::move(updates), state.DocsHash, list.Count, list.Hash};
+}
+
 void sendPing(State &state, const std::string &name, const std::string &address, std::uint64_t seq,
               const Now &now, Effects &effects) {
-  effects.Messages.push_back(
-      {address, message::Ping{seq, collect(state, name, seq, now), state.DocsHash}});
+  effects.Messages.push_back({address, makePing(state, seq, collect(state, name, seq, now), now)});
 }
 
 /// Up to `count` different live members that are neither this node nor `except`.
@@ -265,9 +316,32 @@
   sendPing(state, id.Name, it->second.Info.PeerAddress, state.NextSeq++, now, effects);
 }
 
+/// A live member of the region that has been silent for longest, if that is too long. A small
+/// region is rarely the random choice of a large fleet.
+std::vector<const Member *> silentRegion(const State &state, const Now &now, Random &rng) {
+  const std::string &own = self(state).Info.Region;
+  std::vector<std::pair<TimePoint, std::string>> silent;
+  for (const auto &[region, at] : state.Heard)
+    if (region != own && now.Steady - at >= state.Settings.RegionProbeAfter)
+      silent.emplace_back(at, region);
+  std::ranges::sort(silent);
+  for (const auto &candidate : silent) {
+    const std::string &region = candidate.second;
+    std::vector<const Member *> from = live(state);
+    std::erase_if(from, [&](const Member *it) { return it->Info.Region != region; });
+    std::vector<const Member *> picked;
+    std::ranges::sample(from, std::back_inserter(picked), 1, rng);
+    if (!picked.empty())
+      return picked;
+  }
+  return {};
+}
+
 void startProbe(State &state, const Now &now, Random &rng, Effects &effects) {
   state.Current.Active = false;
-  const auto picked = sample(state, 1, {}, rng);
+  auto picked = silentRegion(state, now, rng);
+  if (picked.empty())
+    picked = sample(state, 1, {}, rng);
   if (picked.empty())
     return;
   const std::uint64_t seq = state.NextSeq++;
@@ -318,7 +392,7 @@
   const std::size_t batch = state.Settings.UpdatesPerMessage;
   const std::size_t batches = state.Settings.PushMessages / state.Settings.PushFanOut;
   for (std::size_t b = 0; b < batches && b * batch < names.size(); ++b) {
-    message::Ping ping{0, {}, state.DocsHash};
+    message::Ping ping = makePing(state, 0, {}, now);
     for (std::size_t i = b * batch; i < std::min(names.size(), (b + 1) * batch); ++i) {
       const std::string &name = names[i].second;
       ping.Updates.push_back(compact(state.Members.at(name).Info));
@@ -346,7 +420,7 @@
   for (const Member *it : sample(state, 1, {}, rng))
     effects.Messages.push_back(
         {it->Info.PeerAddress,
-         message::Ping{0, collect(state, it->Info.Id.Name, 0, now, true), state.DocsHash}});
+         makePing(state, 0, collect(state, it->Info.Id.Name, 0, now, true), now)});
 }
 
 /// Seeds that are not the address of a live member.
@@ -390,6 +464,22 @@
   sendPing(state, name, address, state.NextSeq++, now, effects);
 }
 
+/// Age of a suspicion at which the next confirming probe is due: after 3/5 and 4/5 of its time.
+Duration confirmAt(const State &state, const Member &member) {
+  return state.Settings.SuspicionTime * (3 + static_cast<int>(member.Confirmations)) / 5;
+}
+
+/// Probes a suspect before it is declared dead: at 10% loss a refutation missed about one of 320
+/// nodes in 15 minutes. Carries no other news, as many members are suspected together when regions
+/// are apart.
+void confirm(State &state, Member &member, const Now &now, Effects &effects) {
+  if (member.Confirmations >= 2)
+    return;
+  ++member.Confirmations;
+  effects.Messages.push_back(
+      {member.Info.PeerAddress, makePing(state, state.NextSeq++, {compact(member.Info)}, now)});
+}
+
 void expire(State &state, const Now &now, Effects &effects) {
   if (now.Steady < state.NextExpiry)
     return;
@@ -397,6 +487,8 @@
   for (auto it = state.Members.begin(); it != state.Members.end();) {
     Member &member = it->second;
     const Duration age = now.Steady - member.Since;
+    if (member.Info.State == MemberState::Suspect && age >= confirmAt(state, member))
+      confirm(state, member, now, effects);
     if (member.Info.State == MemberState::Suspect && age >= state.Settings.SuspicionTime)
       setState(state, member, MemberState::Dead, now, effects);
     if (member.Info.State == MemberState::Dead && age >= state.Settings.DeadRetention) {
@@ -417,15 +509,50 @@
   if (now.Steady - std::exchange(state.LastTick, now.Steady) < state.Settings.PauseGap)
     return;
   state.Current.Active = false;
+  state.Settled = false;
+  state.Agreeing.clear();
+  for (auto &[region, at] : state.Heard)
+    at = now.Steady;
   for (auto &[name, it] : state.Members)
     if (it.Info.State == MemberState::Suspect)
       it.Since = now.Steady;
 }
 
+/// The peer holds the same list, or this node has merged all of it.
+void addAgreeing(State &state, const NodeId &peer, const Now &now) {
+  const Member *it = find(state, peer);
+  if (state.Settled || it == nullptr || !isLive(*it))
+    return;
+  state.Agreeing.insert(peer.Name);
+  const std::size_t others = live(state).size() - 1;
+  state.Settled = state.Agreeing.size() >= std::min(state.Settings.SettlePeers, others) &&
+                  now.Steady - state.StartedAt >= state.Settings.SettleTime;
+}
+
+/// Starts an exchange if the digest of a peer shows a difference that news is unlikely to repair.
+void compareDigest(State &state, const NodeId &sender, const std::string &address,
+                   std::uint32_t count, std::uint64_t hash, const Now &now, Effects &effects) {
+  if (count == 0)
+    return;
+  const Digest &list = refreshDigest(state, now);
+  if (count == list.Count && hash == list.Hash) {
+    addAgreeing(state, sender, now);
+    return;
+  }
+  const Options &o = state.Settings;
+  if (now.Steady < state.NextExchange ||
+      (state.Settled && now.Steady - state.ListChanged < o.ExchangeDelay))
+    return;
+  state.NextExchange = now.Steady + (state.Settled ? o.ExchangePeriod : o.JoinExchangePeriod);
+  effects.Messages.push_back({address, message::MemberExchange{list.Buckets, {}, false, true}});
+}
+
 /// Merges the updates of a message and answers an accusation against this node at once.
 void receive(State &state, const NodeId &sender, const std::string &address,
              const std::vector<MemberUpdate> &updates, const Now &now, Effects &effects) {
   state.Reached = true;
+  if (const Member *it = findByName(state, sender.Name); it != nullptr)
+    hearRegion(state, it->Info.Region, now);
   bool refuted = false;
   for (const MemberUpdate &u : updates)
     refuted |= apply(state, u, u.Id == sender, now, effects);
@@ -444,6 +571,7 @@
   state.Seeds = std::move(seeds);
   state.StartedAt = state.LastTick = state.NextProbe = state.NextPush = state.NextJoin = now.Steady;
   state.LastLoadSpread = now.Steady;
+  state.NextExchange = now.Steady + 2 * options.JoinExchangePeriod;
   state.NextReconnect = now.Steady + options.ReconnectPeriod;
   state.NextRepair = hashBytes(state.SelfName) % 1024;
   state.Overloaded = self.Load >= options.OverloadedAt;
@@ -468,10 +596,14 @@
                const message::Ping &ping, const Now &now, Random & /*rng*/) {
   Effects effects;
   receive(state, sender, address, ping.Updates, now, effects);
+  compareDigest(state, sender, address, ping.MemberCount, ping.MemberHash, now, effects);
   if (ping.Seq == 0)
     return effects;
   message::Ack ack{ping.Seq, self(state).Info.Id, collect(state, sender.Name, ping.Seq, now),
                    state.DocsHash};
+  const Digest &list = refreshDigest(state, now);
+  ack.MemberCount = list.Count;
+  ack.MemberHash = list.Hash;
   // Tells a process that was replaced under its name that it must stop.
   const Member *known = findByName(state, sender.Name);
   if (known != nullptr && known->Info.Id.Incarnation > sender.Incarnation)
@@ -497,6 +629,9 @@
               const message::Ack &ack, const Now &now, Random & /*rng*/) {
   Effects effects;
   receive(state, sender, address, ack.Updates, now, effects);
+  compareDigest(state, sender, address, ack.MemberCount, ack.MemberHash, now, effects);
+  if (const Member *it = find(state, ack.Subject); it != nullptr)
+    hearRegion(state, it->Info.Region, now);
   if (state.Current.Active && ack.Seq == state.Current.Seq && ack.Subject == state.Current.Target)
     state.Current.Active = false;
   const auto relay = std::ranges::find_if(
@@ -510,6 +645,47 @@
   return effects;
 }
 
+Effects onExchange(State &state, const NodeId &sender, const std::string &address,
+                   const message::MemberExchange &exchange, const Now &now) {
+  Effects effects;
+  const std::vector<std::uint32_t> &theirs = exchange.Buckets;
+  if (!theirs.empty() && theirs.size() != DigestBuckets)
+    return effects;
+  std::vector<MemberUpdate> updates = exchange.Updates;
+  // After a partition each side holds the other as dead; a suspicion lets the members refute it.
+  for (MemberUpdate &u : updates)
+    if (const Member *known = find(state, u.Id);
+        u.State == MemberState::Dead && known != nullptr && known->Info.State != MemberState::Dead)
+      u.State = MemberState::Suspect;
+  receive(state, sender, address, updates, now, effects);
+  if (exchange.Answer && exchange.Complete)
+    addAgreeing(state, sender, now);
+  if (theirs.empty())
+    return effects;
+  const Digest &list = refreshDigest(state, now);
+  message::MemberExchange reply{{}, {}, true, true};
+  if (!exchange.Answer)
+    reply.Buckets = list.Buckets;
+  // The start differs between nodes and messages, so that repeated exchanges bring other parts.
+  const std::size_t n = state.Members.size();
+  auto it = std::next(state.Members.begin(),
+                      static_cast<std::ptrdiff_t>(hashBytes(sender.Name, state.NextSeq++) % n));
+  for (std::size_t i = 0; i < n; ++i) {
+    const std::size_t bucket = digestBucket(it->first);
+    if (list.Buckets[bucket] != theirs[bucket] && !it->second.Info.PeerAddress.empty()) {
+      reply.Complete = reply.Updates.size() < state.Settings.ExchangeUpdates;
+      if (!reply.Complete)
+        break;
+      reply.Updates.push_back(it->second.Info);
+    }
+    if (++it == state.Members.end())
+      it = state.Members.begin();
+  }
+  if (!exchange.Answer || !reply.Updates.empty())
+    effects.Messages.push_back({address, std::move(reply)});
+  return effects;
+}
+
 Effects announceLeaving(State &state, WallTime leaveBy, const Now &now, Random &rng) {
   Effects effects;
   markLeaving(state, state.Members.at(state.SelfName), leaveBy, now, effects);
--- a/packages/membership/Membership.h
+++ b/packages/membership/Membership.h
@@ -41,6 +41,10 @@
 Effects onAck(State &state, const NodeId &sender, const std::string &address,
               const message::Ack &ack, const Now &now, Random &rng);
 
+/// Merges the members of a peer and answers with those that the peer lacks or holds differently.
+Effects onExchange(State &state, const NodeId &sender, const std::string &address,
+                   const message::MemberExchange &exchange, const Now &now);
+
 /// Marks this node as leaving and pushes the news at once. A later deadline than one already
 /// announced has no effect.
 Effects announceLeaving(State &state, WallTime leaveBy, const Now &now, Random &rng);
--- a/packages/membership/MembershipTest.cpp
+++ b/packages/membership/MembershipTest.cpp
@@ -251,6 +251,123 @@
   BOOST_TEST(first.size() == 3U);
 }
 
+// Guards against lists that stay different when no news is left, and against an exchange that
+// sends whole lists for one difference.
+BOOST_AUTO_TEST_CASE(ExchangeRepairsBothListsWithFewUpdates) {
+  Random rng(1);
+  State one = start(member("one"), {"two:1"}, {}, at(0ms));
+  State two = start(member("two"), {"one:1"}, {}, at(0ms));
+  const auto hear = [&](State &state, const std::string &peer, const MemberUpdate &u) {
+    onPing(state, {peer, Birth}, peer + ":1", {0, {member(peer), u}, 0}, at(0ms), rng);
+  };
+  for (int i = 0; i < 300; ++i) {
+    const MemberUpdate u = member("m" + std::to_string(i));
+    if (i != 7)
+      hear(one, "two", u);
+    if (i != 9)
+      hear(two, "one", u);
+  }
+  const Digest before = makeDigest(one);
+  BOOST_TEST(before.Hash != makeDigest(two).Hash);
+  const auto request = sent<message::MemberExchange>(
+      onPing(one, {"two", Birth}, "two:1", {0, {member("two")}, 0, 301, makeDigest(two).Hash},
+             at(60s), rng));
+  BOOST_REQUIRE(request.size() == 1U);
+  const auto answer = sent<message::MemberExchange>(
+      onExchange(two, {"one", Birth}, "one:1", request[0].second, at(60s)));
+  BOOST_REQUIRE(answer.size() == 1U);
+  const auto rest = sent<message::MemberExchange>(
+      onExchange(one, {"two", Birth}, "two:1", answer[0].second, at(60s)));
+  BOOST_REQUIRE(rest.size() == 1U);
+  const auto last = onExchange(two, {"one", Birth}, "one:1", rest[0].second, at(60s));
+  BOOST_TEST(last.Messages.empty());
+  BOOST_TEST(makeDigest(one).Hash == makeDigest(two).Hash);
+  BOOST_TEST(makeDigest(one).Count == 302U);
+  BOOST_TEST(answer[0].second.Updates.size() + rest[0].second.Updates.size() < 40U);
+}
+
+// Guards against the other side of a healed partition declaring live members dead by an exchange,
+// and against dead members that an exchange brings back.
+BOOST_AUTO_TEST_CASE(DeathInAnExchangeIsOnlyASuspicion) {
+  Fixture f;
+  f.hear({member("peer"), member("b")});
+  const message::MemberExchange exchange{
+      {}, {with(member("b"), MemberState::Dead), with(member("c"), MemberState::Dead)}, true, true};
+  const auto effects = onExchange(f.Node, {"peer", Birth}, "peer:1", exchange, at(1s));
+  BOOST_TEST(contains(effects, {"b", Birth}, MemberState::Suspect));
+  BOOST_TEST((findByName(f.Node, "b")->Info.State == MemberState::Suspect));
+  BOOST_TEST(findByName(f.Node, "c") == nullptr);
+}
+
+// Guards against answers to exchanges of another version, whose buckets cannot be compared.
+BOOST_AUTO_TEST_CASE(ExchangeWithOtherBucketsIsIgnored) {
+  Fixture f;
+  f.hear({member("peer"), member("b")});
+  message::MemberExchange exchange;
+  exchange.Buckets.resize(DigestBuckets + 1);
+  BOOST_TEST(onExchange(f.Node, {"peer", Birth}, "peer:1", exchange, at(1s)).Messages.empty());
+}
+
+// Guards against declaring absent owners dead from a list that is incomplete: too few peers agree,
+// the list grew since they did, or this process was paused.
+BOOST_AUTO_TEST_CASE(SettledNeedsAgreementOfSeveralPeers) {
+  Fixture f;
+  f.hear({member("peer"), member("b"), member("c"), member("d")});
+  const auto agree = [&](const std::string &name, std::chrono::milliseconds t) {
+    const Digest list = makeDigest(f.Node);
+    onPing(f.Node, {name, Birth}, name + ":1", {0, {member(name)}, 0, list.Count, list.Hash}, at(t),
+           f.Rng);
+  };
+  tick(f.Node, at(3s), f.Rng);
+  BOOST_TEST(!isSettled(f.Node, at(1h)));
+  agree("peer", 3s);
+  agree("peer", 3s);
+  agree("b", 3s);
+  BOOST_TEST(!isSettled(f.Node, at(3s)));
+  f.hear({member("e")}, 3s);
+  agree("c", 3s);
+  BOOST_TEST(!isSettled(f.Node, at(3s)));
+  agree("d", 3s);
+  agree("e", 3s);
+  BOOST_TEST(isSettled(f.Node, at(3s)));
+  tick(f.Node, at(60s), f.Rng);
+  BOOST_TEST(!isSettled(f.Node, at(60s)));
+}
+
+// Guards against nodes that start together and agree before they know the rest of the fleet.
+BOOST_AUTO_TEST_CASE(SettledNeedsTime) {
+  Fixture f;
+  f.hear({member("peer")});
+  const Digest list = makeDigest(f.Node);
+  const message::Ping ping{0, {member("peer")}, 0, list.Count, list.Hash};
+  onPing(f.Node, {"peer", Birth}, "peer:1", ping, at(1s), f.Rng);
+  BOOST_TEST(!isSettled(f.Node, at(1s)));
+  onPing(f.Node, {"peer", Birth}, "peer:1", ping, at(2s), f.Rng);
+  BOOST_TEST(isSettled(f.Node, at(2s)));
+}
+
+// Guards against a region taken for unreachable that is heard through others or has left, and
+// against a node without any contact that blames the regions.
+BOOST_AUTO_TEST_CASE(SilentRegionIsUnreachable) {
+  const auto inRegion = [](const std::string &name, const std::string &region) {
+    MemberUpdate u = member(name, region);
+    u.Region = region;
+    return u;
+  };
+  using Regions = std::set<std::string>;
+  Fixture f;
+  auto gone = inRegion("gone", "left");
+  gone.LeaveBy = at(60s).Wall;
+  f.hear({member("peer"), inRegion("a", "far"), inRegion("b", "other"), gone});
+  BOOST_TEST((unreachableRegions(f.Node, at(4900ms)) == Regions{}));
+  f.hear({with(inRegion("b", "other"), MemberState::Alive, 1)}, 4900ms);
+  BOOST_TEST((unreachableRegions(f.Node, at(5s)) == Regions{"far"}));
+  onAck(f.Node, {"peer", Birth}, "peer:1", {5, {"a", Birth}, {member("peer")}, 0}, at(6s), f.Rng);
+  BOOST_TEST((unreachableRegions(f.Node, at(6s)) == Regions{}));
+  // Nobody is heard any more: this node is cut off.
+  BOOST_TEST((unreachableRegions(f.Node, at(20s)) == Regions{}));
+}
+
 // Guards against an order of arrival that decides which state wins: every node that has heard the
 // same updates must hold the same list.
 BOOST_AUTO_TEST_CASE(ListsAgreeWhateverTheOrderOfUpdates) {
--- a/packages/membership/Options.h
+++ b/packages/membership/Options.h
@@ -35,6 +35,24 @@
   /// answer it with a part of the member list. When 320 nodes start together, 5 s left 69 of them
   /// with incomplete lists, 8 s left 4 and 10 s left 2; the repair updates reach those later.
   Duration JoinTime = std::chrono::seconds(10);
+  /// Minimum time between two exchanges that a node starts, before and after its list has settled.
+  /// When 320 nodes start together, the first exchange waits until peers other than the seeds are
+  /// known.
+  Duration JoinExchangePeriod = std::chrono::milliseconds(500);
+  Duration ExchangePeriod = std::chrono::seconds(5);
+  /// A settled list that changed less than this ago is left to the news in progress.
+  Duration ExchangeDelay = std::chrono::seconds(5);
+  /// Bounds the size of an exchange message to about 10 KB.
+  std::size_t ExchangeUpdates = 100;
+  /// A list is settled when this many peers (or all, if there are fewer) hold the same, but not
+  /// before SettleTime: nodes that start together agree before they know the rest of the fleet.
+  std::size_t SettlePeers = 3;
+  Duration SettleTime = std::chrono::seconds(2);
+  /// A region from which nothing was heard for RegionTimeout is unreachable. Not longer than
+  /// SuspicionTime, so that it is known before its members are declared dead. A region that is
+  /// silent for RegionProbeAfter is probed next.
+  Duration RegionTimeout = std::chrono::seconds(5);
+  Duration RegionProbeAfter = std::chrono::seconds(2);
   /// Updates about members first seen less than this ago carry addresses.
   Duration FullUpdateTime = std::chrono::seconds(60);
   /// Period of probes to dead members and unreached seeds; reconnects regions after a partition.
--- a/packages/membership/Queries.cpp
+++ b/packages/membership/Queries.cpp
@@ -90,8 +90,24 @@
 }
 
 bool isSettled(const State &state, const Now &now) {
-  return (state.Reached || state.Seeds.empty()) &&
-         now.Steady - state.StartedAt >= state.Settings.JoinTime;
+  const bool alone = state.Seeds.empty() && state.Members.size() == 1;
+  return state.Settled || (alone && now.Steady - state.StartedAt >= state.Settings.JoinTime);
+}
+
+std::set<std::string> unreachableRegions(const State &state, const Now &now) {
+  const auto isRecent = [&](const auto &it) {
+    return now.Steady - it.second < state.Settings.RegionTimeout;
+  };
+  std::set<std::string> regions;
+  if (std::ranges::none_of(state.Heard, isRecent))
+    return regions;
+  const std::string &own = self(state).Info.Region;
+  for (const auto &[name, it] : state.Members) {
+    const auto heard = state.Heard.find(it.Info.Region);
+    if (it.Info.Region != own && !isLeaving(it) && heard != state.Heard.end() && !isRecent(*heard))
+      regions.insert(it.Info.Region);
+  }
+  return regions;
 }
 
 } // namespace chervil::membership
--- a/packages/membership/Queries.h
+++ b/packages/membership/Queries.h
@@ -7,6 +7,7 @@
 #include "membership/State.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -40,10 +41,15 @@
 std::vector<const Member *> entryList(const State &state, std::string_view caller,
                                       std::size_t limit);
 
-/// True once the member list can be taken as complete enough to declare absent owners dead: the
-/// join time has passed and a peer was reached, or there are no seeds.
+/// True once the member list can be taken as complete enough to declare absent owners dead: several
+/// peers hold the same list or have sent all of theirs. After a pause of this process new evidence
+/// is needed. A node without seeds that no peer has contacted is settled after the join time.
 bool isSettled(const State &state, const Now &now);
 
+/// Regions other than this node's own, with members that were not leaving, none of which has been
+/// heard directly or through others for RegionTimeout, while this node heard some other member.
+std::set<std::string> unreachableRegions(const State &state, const Now &now);
+
 } // namespace chervil::membership
 
 #endif
--- a/packages/membership/State.h
+++ b/packages/membership/State.h
@@ -2,10 +2,12 @@
 #ifndef CHERVIL_MEMBERSHIP_STATE_H
 #define CHERVIL_MEMBERSHIP_STATE_H
 
+#include "membership/Digest.h"
 #include "membership/Options.h"
 #include "message/MemberUpdate.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,6 +21,8 @@
   TimePoint FirstSeen;
   /// When the member entered its present state.
   TimePoint Since;
+  /// Confirming probes sent since the member was suspected.
+  std::size_t Confirmations = 0;
 };
 
 /// The probe of the current period.
@@ -70,6 +74,17 @@
   bool Replaced = false;
   /// Sent in Ping and Ack; set by the owner of the state to the hash of its documents.
   std::uint64_t DocsHash = 0;
+  /// Digest of Members, valid unless DigestStale.
+  Digest List;
+  bool DigestStale = true;
+  /// When the digest last changed.
+  TimePoint ListChanged;
+  TimePoint NextExchange;
+  /// Peers that held the same list since it last grew; used until Settled.
+  std::set<std::string> Agreeing;
+  bool Settled = false;
+  /// By region: when a member of it was last heard, directly or through others.
+  std::map<std::string, TimePoint> Heard;
 };
 
 } // namespace chervil::membership
--- a/packages/message/Ack.h
+++ b/packages/message/Ack.h
@@ -14,6 +14,9 @@
   NodeId Subject;
   std::vector<MemberUpdate> Updates;
   std::uint64_t DocsHash = 0;
+  /// Number of live members the sender knows and a hash over them; no digest when the number is 0.
+  std::uint32_t MemberCount = 0;
+  std::uint64_t MemberHash = 0;
 };
 
 } // namespace chervil::message
--- a/packages/message/Message.h
+++ b/packages/message/Message.h
@@ -20,6 +20,7 @@
 #include "message/HandoverReply.h"
 #include "message/Mark.h"
 #include "message/MarkReply.h"
+#include "message/MemberExchange.h"
 #include "message/Ping.h"
 #include "message/PingRequest.h"
 #include "message/Progress.h"
@@ -39,7 +40,7 @@
     std::variant<Ping, PingRequest, Ack, DocUpdate, DocDigest, DocRequest, Submit, SubmitReply,
                  Mark, MarkReply, Progress, Finish, FinishReply, Close, CloseReply, Fetch, Chunk,
                  End, Handover, HandoverReply, StandbyReady, TableChunk, TableAck, DemandReport,
-                 ShareGrant, CrashReport, BackendNews>;
+                 ShareGrant, CrashReport, BackendNews, MemberExchange>;
 
 } // namespace chervil::message
 
--- a/packages/message/Ping.h
+++ b/packages/message/Ping.h
@@ -13,6 +13,9 @@
   std::vector<MemberUpdate> Updates;
   /// Hash over all document names and versions the sender has.
   std::uint64_t DocsHash = 0;
+  /// Number of live members the sender knows and a hash over them; no digest when the number is 0.
+  std::uint32_t MemberCount = 0;
+  std::uint64_t MemberHash = 0;
 };
 
 } // namespace chervil::message
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -26,6 +26,9 @@
   void operator()(const message::Ping &m) const {
     apply(Ctx, membership::onPing(Ctx.S.Members, From, Address, m, Ctx.Time, Ctx.Rng));
   }
+  void operator()(const message::MemberExchange &m) const {
+    apply(Ctx, membership::onExchange(Ctx.S.Members, From, Address, m, Ctx.Time));
+  }
   void operator()(const message::PingRequest &m) const {
     apply(Ctx, membership::onPingRequest(Ctx.S.Members, From, Address, m, Ctx.Time, Ctx.Rng));
   }
--- a/packages/node/NodeTest.cpp
+++ b/packages/node/NodeTest.cpp
@@ -127,6 +127,98 @@
 
 namespace {
 
+/// A holder of duty/shards in region "near" with the peers "c", "d" and "e", and a map whose only
+/// shard has its owner "a" and standby "b" in region "far".
+struct DutyHolder {
+  static constexpr std::uint64_t Birth = 1'000;
+  Random Rng{1};
+  std::chrono::milliseconds Time{0};
+  node::State Node = node::makeState(member("self", "near", "1"), {"c:1"}, {}, now());
+  std::size_t Writes = 0;
+
+  Now now() const { return {TimePoint(Time), WallTime(1h + Time)}; }
+
+  static message::MemberUpdate member(const std::string &name, const std::string &region,
+                                      const std::string &dataCentre) {
+    message::MemberUpdate u;
+    u.Id = {name, Birth};
+    u.Region = region;
+    u.DataCentre = dataCentre;
+    u.PeerAddress = name + ":1";
+    u.CallerAddress = name + ":2";
+    return u;
+  }
+
+  void handle(const node::Event &event) {
+    for (const node::Effect &it : node::handle(Node, event, now(), Rng))
+      Writes += std::holds_alternative<node::WriteShardMap>(it) ? 1 : 0;
+  }
+
+  /// A ping from `name`, with the digest of an equal list and a new refutation: no probe of this
+  /// node is ever answered.
+  void hear(const std::string &name, std::vector<message::MemberUpdate> updates = {}) {
+    if (const auto *known = membership::findByName(Node.Members, name); known != nullptr) {
+      updates.push_back(known->Info);
+      updates.back().State = message::MemberState::Alive;
+      ++updates.back().Refutation;
+    }
+    const membership::Digest list = membership::makeDigest(Node.Members);
+    handle(node::PeerMessage{{name, Birth},
+                             name + ":1",
+                             message::Ping{0, std::move(updates), 0, list.Count, list.Hash}});
+  }
+
+  DutyHolder() {
+    hear("c", {member("c", "near", "1"), member("d", "near", "2"), member("e", "near", "2"),
+               member("a", "far", "3"), member("b", "far", "4")});
+    shard::Placement placement;
+    placement.Owner = {"a", Birth};
+    placement.Standby = {"b", Birth};
+    placement.Epoch = 1;
+    placement.Ready = true;
+    Node.Map.Version = 1;
+    Node.Map.Shards = {placement};
+    Node.Duty.Held = true;
+    Node.Duty.MapRevision = 1;
+  }
+
+  /// Runs until `end` while the members `heard` are heard.
+  void runTo(std::chrono::milliseconds end, const std::vector<std::string> &heard) {
+    for (; Time < end; Time += 100ms) {
+      for (const std::string &name : heard)
+        hear(name);
+      handle(node::Tick{});
+    }
+  }
+};
+
+} // namespace
+
+// Guards against a duty holder that replaces owners in a region that is only out of contact, and
+// against one that keeps a dead owner in a region that is not.
+BOOST_AUTO_TEST_CASE(ShardsOfAnUnreachableRegionStay) {
+  for (const bool far : {false, true}) {
+    DutyHolder f;
+    f.runTo(3s, {"a", "b", "c", "d", "e"});
+    BOOST_TEST(f.Writes == 0U);
+    BOOST_TEST(membership::isSettled(f.Node.Members, f.now()));
+    std::vector<std::string> heard{"c", "d", "e"};
+    if (far)
+      heard.emplace_back("b");
+    f.runTo(9s, heard);
+    auto dead = DutyHolder::member("a", "far", "3");
+    dead.State = message::MemberState::Dead;
+    dead.Refutation = 1000;
+    f.hear("c", {dead});
+    f.runTo(11s, heard);
+    BOOST_TEST(
+        (membership::findByName(f.Node.Members, "a")->Info.State == message::MemberState::Dead));
+    BOOST_TEST(f.Writes == (far ? 1U : 0U));
+  }
+}
+
+namespace {
+
 struct Fault {
   unsigned Kind;
   unsigned Target;
--- a/packages/node/Shards.cpp
+++ b/packages/node/Shards.cpp
@@ -42,10 +42,11 @@
   if (!mayAssign(state, now))
     return changed ? std::optional(map) : std::nullopt;
   std::vector<message::MemberUpdate> members;
+  // Dead members are included: the regions of owners that are out of contact must be known.
   for (const auto &[name, member] : state.Members.Members)
-    if (member.Info.State != message::MemberState::Dead)
-      members.push_back(member.Info);
+    members.push_back(member.Info);
   shard::AssignOptions options;
+  options.ApartRegions = membership::unreachableRegions(state.Members, now);
   options.ShardCount = state.Settings.ShardCount;
   options.RetryHorizon = state.Records.Settings.RetryHorizon;
   options.ClockMargin = state.Records.Settings.ClockMargin;
--- a/packages/wire/CodecTest.cpp
+++ b/packages/wire/CodecTest.cpp
@@ -147,7 +147,7 @@
   BOOST_TEST((codeOf(type(22, -1, 2, 3, true)) == ResultCode::PeerBadFrame));
   BOOST_TEST((codeOf(type(22, std::uint64_t{1} << 32, 2, 3, true)) == ResultCode::PeerBadFrame));
   BOOST_TEST((codeOf(type(22, std::string("1"), 2, 3, true)) == ResultCode::PeerBadFrame));
-  BOOST_TEST((codeOf(type(27, 1)) == ResultCode::PeerBadFrame));
+  BOOST_TEST((codeOf(type(std::variant_size_v<message::Message>, 1)) == ResultCode::PeerBadFrame));
   BOOST_TEST((codeOf(type(~std::uint64_t{0}, 1)) == ResultCode::PeerBadFrame));
   BOOST_TEST((codeOf(type(-1, 1)) == ResultCode::PeerBadFrame));
   BOOST_TEST((codeOf(type(std::string("22"), 1, 2, 3, true)) == ResultCode::PeerBadFrame));
--- a/packages/wire/detail/Fields.h
+++ b/packages/wire/detail/Fields.h
@@ -48,12 +48,14 @@
 }
 template <Is<message::ShardEpoch> M> auto fields(M &m) { return std::tie(m.Shard, m.Epoch); }
 
-template <Is<message::Ping> M> auto fields(M &m) { return std::tie(m.Seq, m.Updates, m.DocsHash); }
+template <Is<message::Ping> M> auto fields(M &m) {
+  return std::tie(m.Seq, m.Updates, m.DocsHash, m.MemberCount, m.MemberHash);
+}
 template <Is<message::PingRequest> M> auto fields(M &m) {
   return std::tie(m.Seq, m.Target, m.Updates);
 }
 template <Is<message::Ack> M> auto fields(M &m) {
-  return std::tie(m.Seq, m.Subject, m.Updates, m.DocsHash);
+  return std::tie(m.Seq, m.Subject, m.Updates, m.DocsHash, m.MemberCount, m.MemberHash);
 }
 template <Is<message::DocUpdate> M> auto fields(M &m) {
   return std::tie(m.Name, m.Version, m.Body);
@@ -111,6 +113,9 @@
 template <Is<message::BackendNews> M> auto fields(M &m) {
   return std::tie(m.Backend, m.Seq, m.SlowFactor, m.Leaving);
 }
+template <Is<message::MemberExchange> M> auto fields(M &m) {
+  return std::tie(m.Buckets, m.Updates, m.Answer, m.Complete);
+}
 
 /// A struct with a list of fields above.
 template <typename T>
