--- a/packages/message/Message.h
+++ b/packages/message/Message.h
@@ -22,6 +22,7 @@
 #include "message/HandoverReply.h"
 #include "message/Mark.h"
 #include "message/MarkReply.h"
+#include "message/MemberExchange.h"
 #include "message/Ping.h"
 #include "message/PingRequest.h"
 #include "message/Progress.h"
@@ -41,7 +42,7 @@
     std::variant<Ping, PingRequest, Ack, DocUpdate, DocDigest, DocRequest, Submit, SubmitReply,
                  Mark, MarkReply, Progress, Finish, FinishReply, Close, CloseReply, Fetch, Chunk,
                  End, Handover, HandoverReply, StandbyReady, TableChunk, TableAck, DemandReport,
-                 ShareGrant, CrashReport, BackendNews, EpochProbe, EpochConfirm>;
+                 ShareGrant, CrashReport, BackendNews, EpochProbe, EpochConfirm, MemberExchange>;
 
 } // namespace chervil::message
 
--- a/packages/node/Shards.cpp
+++ b/packages/node/Shards.cpp
@@ -80,6 +80,7 @@
     return changed ? std::optional(map) : std::nullopt;
   const std::vector<message::MemberUpdate> members = membersFor(state, map);
   shard::AssignOptions options;
+  options.ApartRegions = membership::unreachableRegions(state.Members, now);
   options.ShardCount = state.Settings.ShardCount;
   options.RetryHorizon = state.Records.Settings.RetryHorizon;
   options.ClockMargin = state.Records.Settings.ClockMargin;
