shard: keep the old owner as standby when balance swaps the two

Ruled out: a lagging watch (all nodes held document version 61 and counted one rejected shard map). Change: place() takes the nodes by value. A map that is rejected for another reason would still stop the shards; that is not changed here.

--- a/packages/shard/Assign.cpp
+++ b/packages/shard/Assign.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <tuple>
+#include <utility>
 
 namespace chervil::shard {
 
@@ -102,11 +103,12 @@
   return best;
 }
 
-/// Gives a shard a new owner or standby under the next epoch.
-void place(Work &work, Placement &p, const NodeId &owner, const NodeId &standby) {
+/// Gives a shard a new owner or standby under the next epoch. The nodes are taken by value because
+/// callers pass those of the placement itself.
+void place(Work &work, Placement &p, NodeId owner, NodeId standby) {
   count(work, p, -1);
-  p.Owner = owner;
-  p.Standby = standby;
+  p.Owner = std::move(owner);
+  p.Standby = std::move(standby);
   p.Epoch += 1;
   p.Ready = false;
   const auto &options = work.Options;
--- a/packages/shard/AssignTest.cpp
+++ b/packages/shard/AssignTest.cpp
@@ -397,6 +397,30 @@
   BOOST_TEST(ok);
 }
 
+// Guards against a balance move that names one node as both owner and standby: such a map is
+// rejected by every node, so that none could follow any more.
+BOOST_AUTO_TEST_CASE(BalanceSwapsOwnerAndStandby) {
+  const auto members = fleet(3, 3);
+  ShardMap map = assign({}, members, at(0ms), shards(30)).value();
+  for (std::size_t i = 0; i < map.Shards.size(); ++i) {
+    map.Shards[i].Owner = members[0].Id;
+    map.Shards[i].Standby = members[1 + i % 2].Id;
+  }
+  map = allReady(map);
+  const auto next = assign(map, members, at(1s), shards(30));
+  BOOST_REQUIRE(next.has_value());
+  std::size_t moved = 0;
+  for (std::size_t i = 0; i < map.Shards.size(); ++i) {
+    if (next->Shards[i].Epoch == map.Shards[i].Epoch)
+      continue;
+    ++moved;
+    BOOST_TEST((next->Shards[i].Owner == map.Shards[i].Standby));
+    BOOST_TEST((next->Shards[i].Standby == map.Shards[i].Owner));
+  }
+  BOOST_TEST(moved > 0U);
+  BOOST_TEST((parseShardMap(serialise(*next)) == *next));
+}
+
 // Guards against balance moves that never end.
 BOOST_AUTO_TEST_CASE(BalanceComesToRest) {
   const bool ok = rc::check("balance reaches a fixed point", [] {
