Export document versions; port offset and port check in the fleet starter

Cause: tools/chaos must see that versions in force never fall, and run beside another fleet. Change: metric chervil_document_version{document}; Fleet takes numbers of nodes (spread over the data centres) and engines and a port offset, and refuses to start when one of its ports is in use; engines restart on new VMs as nodes do; Load takes a workload. Conclusion: two fleets no longer share ports unnoticed.

--- a/packages/daemon/Daemon.cpp
+++ b/packages/daemon/Daemon.cpp
@@ -315,6 +315,8 @@
   setGauge(metrics, "live_members", static_cast<double>(membership::live(node.Members).size()));
   setGauge(metrics, "shard_map_version", static_cast<double>(node.Map.Version));
   setGauge(metrics, "documents", static_cast<double>(node.Documents.Documents.size()));
+  for (const auto &[name, document] : node.Documents.Documents)
+    setDocumentVersion(metrics, name, document.Version);
   const net::PeerCounters &peers = net::counters(*daemon.Peers);
   setTotal(metrics, "peer_bytes", "sent", static_cast<double>(peers.BytesSent));
   setTotal(metrics, "peer_bytes", "received", static_cast<double>(peers.BytesReceived));
--- a/packages/daemon/Metrics.cpp
+++ b/packages/daemon/Metrics.cpp
@@ -57,6 +57,18 @@
   it->second->Set(value);
 }
 
+void setDocumentVersion(Metrics &metrics, const std::string &document, std::uint64_t version) {
+  auto it = metrics.DocumentVersions.find(document);
+  if (it == metrics.DocumentVersions.end()) {
+    auto &family = prometheus::BuildGauge()
+                       .Name("chervil_document_version")
+                       .Help("Version of a configuration document in force on this node.")
+                       .Register(metrics.Registry);
+    it = metrics.DocumentVersions.emplace(document, &family.Add({{"document", document}})).first;
+  }
+  it->second->Set(static_cast<double>(version));
+}
+
 void observe(prometheus::Histogram &histogram, Duration value) {
   histogram.Observe(std::chrono::duration<double>(value).count());
 }
--- a/packages/daemon/Metrics.h
+++ b/packages/daemon/Metrics.h
@@ -7,6 +7,7 @@
 
 #include "base/Time.h"
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <prometheus/counter.h>
@@ -29,6 +30,7 @@
   std::map<std::string, prometheus::Family<prometheus::Counter> *, std::less<>> CounterFamilies;
   std::map<std::pair<std::string, std::string>, prometheus::Counter *, std::less<>> Counters;
   std::map<std::string, prometheus::Gauge *, std::less<>> Gauges;
+  std::map<std::string, prometheus::Gauge *, std::less<>> DocumentVersions;
 };
 
 /// Raises chervil_METRIC_total{reason="REASON"}.
@@ -40,6 +42,9 @@
 /// Sets chervil_NAME.
 void setGauge(Metrics &metrics, std::string_view name, double value);
 
+/// Sets chervil_document_version{document="DOCUMENT"}.
+void setDocumentVersion(Metrics &metrics, const std::string &document, std::uint64_t version);
+
 void observe(prometheus::Histogram &histogram, Duration value);
 
 /// Text exposition format.
--- a/tools/lib/fleet.py
+++ b/tools/lib/fleet.py
@@ -12,6 +12,7 @@
 import pathlib
 import shutil
 import signal
+import socket
 import subprocess
 import tempfile
 import time
@@ -49,11 +50,16 @@
 
 
 class Fleet:
-    def __init__(self, name, nodes=None, waiting=False, settings=None, link=True, keep=False):
+    def __init__(self, name, nodes=None, waiting=False, settings=None, link=True, keep=False,
+                 engines=None, port_offset=0):
+        """`nodes` and `engines` are numbers; without them, all are started. `port_offset` is added
+        to every port, so that two fleets can run on one machine."""
         self.name = name
         self.directory = ROOT / "examples" / name
         self.topology = json.loads((self.directory / "topology.json").read_text())
-        self.nodes = self.topology["nodes"][: nodes or None]
+        self.shift_ports(port_offset)
+        self.nodes = self.spread(self.topology["nodes"], nodes)
+        self.engine_count = engines
         self.settings = settings or {}
         self.link = link
         self.waiting = waiting
@@ -63,6 +69,27 @@
         self.commands = {}
         self.platform = "http://127.0.0.1:%d" % self.topology["platform"]["port"]
 
+    def shift_ports(self, offset):
+        topology = self.topology
+        for it in [topology["platform"], *topology["nodes"], *topology["engines"],
+                   *topology["services"]]:
+            for key in ("port", "caller_port", "peer_port", "admin_port"):
+                if key in it:
+                    it[key] += offset
+
+    @staticmethod
+    def spread(nodes, count):
+        """The first nodes of each data centre in turn, `count` in all, in the order given."""
+        if count is None or count >= len(nodes):
+            return nodes
+        rank = {}
+        seen = {}
+        for it in nodes:
+            rank[it["name"]] = seen.get(it["data_centre"], 0)
+            seen[it["data_centre"]] = rank[it["name"]] + 1
+        chosen = sorted(nodes, key=lambda it: rank[it["name"]])[:count]
+        return [it for it in nodes if it in chosen]
+
     def __enter__(self):
         try:
             self.start()
@@ -134,7 +161,8 @@
                    "slots": topology["classes"][it["class"]]["slots"]}
 
     def engines(self):
-        return [it for it in self.topology["engines"] if self.waiting or not it["waiting"]]
+        return [it for it in self.topology["engines"]
+                if self.waiting or not it["waiting"]][: self.engine_count]
 
     def prices(self):
         for centre in self.topology["data_centres"]:
@@ -145,7 +173,29 @@
                         yield {"zone": zone, "class": name, "reclaimable": reclaimable,
                                "price_per_hour": it[key]}
 
+    def ports(self):
+        platform = self.topology["platform"]["port"]
+        found = [platform, platform + LINK_CONTROL_OFFSET]
+        found += [it["port"] for it in self.engines() + self.topology["services"]]
+        for it in self.nodes:
+            found += [it["caller_port"], it["peer_port"], it["admin_port"],
+                      it["peer_port"] + LINK_OFFSET]
+        return found
+
+    def check_ports(self):
+        """Raises if a port is in use. The stand-ins share ports that are bound already, so two
+        fleets on one port would answer each other's calls without an error."""
+        for port in self.ports():
+            with socket.socket() as it:
+                it.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    it.bind(("127.0.0.1", port))
+                except OSError as error:
+                    raise RuntimeError("port %d is in use: is another fleet running?"
+                                       % port) from error
+
     def start(self):
+        self.check_ports()
         platform = self.topology["platform"]
         (self.run / "vms.json").write_text(json.dumps(list(self.vms())))
         (self.run / "prices.json").write_text(json.dumps(list(self.prices())))
@@ -324,26 +374,27 @@
             self.kill(name)
         return names
 
-    def restart_node(self, name):
-        """Starts a node again on a new VM."""
-        it = self.node(name)
-        vm = {"address": self.caller(it), "role": "node", "target": [],
-              "region": self.topology["region"], "data_centre": it["data_centre"],
-              "zone": it["zone"], "class": it["class"], "reclaimable": it["reclaimable"],
-              "price_per_hour": it["price_per_hour"], "slots": 0, "checks_fencing": False}
-        http("POST", self.platform + "/control/register", json.dumps(vm))
+    def vm_of(self, name):
+        """The VM, as it is registered, of a node or back end."""
+        addresses = {it["name"]: self.caller(it) for it in self.nodes}
+        addresses.update((it["name"], "127.0.0.1:%d" % it["port"]) for it in self.engines())
+        return next(it for it in self.vms() if it["address"] == addresses[name])
+
+    def restart_on_new_vm(self, name):
+        """Starts a node or model engine again on a new VM."""
+        http("POST", self.platform + "/control/register", json.dumps(self.vm_of(name)))
         self.respawn(name)
 
 
 class Load:
     """A run of chervilctl load in the background."""
 
-    def __init__(self, fleet, seconds, callers=24, seed=1, extra=()):
+    def __init__(self, fleet, seconds, callers=24, seed=1, extra=(), workload=None):
         self.report = fleet.run / ("load-%d.json" % seed)
         self.output = open(fleet.run / ("load-%d.txt" % seed), "w+")
         self.process = subprocess.Popen(
             [str(CTL), "load", "--entry", ",".join(fleet.callers()), "--workload",
-             str(fleet.directory / "workload.json"), "--callers", str(callers), "--duration-s",
+             str(workload or fleet.directory / "workload.json"), "--callers", str(callers), "--duration-s",
              str(seconds), "--seed", str(seed), "--verify", ",".join(fleet.service_urls()),
              "--json", str(self.report), *extra],
             stdout=self.output, stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL)
