Keep shards of regions out of contact although their dead members are unproven

Cause: after the rule that a dead member is listed only with proof, the assignment no longer knew the region of an owner that is out of contact and promoted its unreachable standby (node_test, ShardsOfAnUnreachableRegionStay: 1 write, 0 expected). Change: the node names the holders in unreachable regions. Measured: node_test and shard_test pass. Conclusion: both rules hold together.

--- a/packages/node/Shards.cpp
+++ b/packages/node/Shards.cpp
@@ -81,6 +81,9 @@
   const std::vector<message::MemberUpdate> members = membersFor(state, map);
   shard::AssignOptions options;
   options.ApartRegions = membership::unreachableRegions(state.Members, now);
+  for (const auto &[name, member] : state.Members.Members)
+    if (options.ApartRegions.contains(member.Info.Region))
+      options.ApartHolders.insert(member.Info.Id);
   options.ShardCount = state.Settings.ShardCount;
   options.RetryHorizon = state.Records.Settings.RetryHorizon;
   options.ClockMargin = state.Records.Settings.ClockMargin;
--- a/packages/shard/Assign.cpp
+++ b/packages/shard/Assign.cpp
@@ -140,6 +140,8 @@
 
 bool isKept(const Work &work, const Placement &p) {
   const auto apart = [&](const NodeId &id) {
+    if (work.Options.ApartHolders.contains(id))
+      return true;
     const auto it = work.Known.find({id.Name, id.Incarnation});
     return it != work.Known.end() && work.Options.ApartRegions.contains(it->second->Region);
   };
--- a/packages/shard/Assign.h
+++ b/packages/shard/Assign.h
@@ -27,6 +27,8 @@
   /// Regions that are out of contact but not known to be gone: shards with owner and standby in
   /// them are left as they are.
   std::set<std::string> ApartRegions;
+  /// Holders in such regions that are believed dead without proof and so are not among `members`.
+  std::set<NodeId> ApartHolders;
 };
 
 /// The changed map, with Version raised by 1, or nothing if no change is needed or no member is
