Bound the retries of a node by budgets

Cause: retries on other back ends had their own backoff and no budget, so that a total outage multiplied the load offered to back ends.

Change: a retry waits for retry::nextDelay and takes one retry from the budgets of the customer and the node, which earn from admitted requests. When they are spent, repeatable work waits and tries again until its deadline and is then refused with retry_budget_spent; other work has not run and is refused with the failure of its last call. Refusals for failures of back ends state a spread retry time.

--- a/packages/node/Calls.cpp
+++ b/packages/node/Calls.cpp
@@ -1,6 +1,7 @@
 #include "node/Context.h"
 
 #include "membership/Queries.h"
+#include "retry/Backoff.h"
 
 #include <algorithm>
 
@@ -9,6 +10,12 @@
 
 constexpr std::size_t MovedAddresses = 4;
 
+/// Failures without a known time of recovery that strike many callers together.
+bool isBackendFailure(ResultCode code) {
+  return code == ResultCode::RetryBudgetSpent ||
+         (code >= ResultCode::NoBackend && code <= ResultCode::BackendRefused);
+}
+
 void begin(Context &ctx, Call &call) {
   if (call.Begun)
     return;
@@ -48,6 +55,9 @@
 
 void refuseCall(Context &ctx, Call &call, ResultCode code, std::uint32_t nextAttempt) {
   const ResultCodeInfo &details = info(code);
+  if (details.Retry && call.RetryAfter.count() == 0 && isBackendFailure(code))
+    call.RetryAfter =
+        std::chrono::ceil<std::chrono::milliseconds>(retry::spreadRetryAfter(ctx.Rng));
   count(ctx, "refused", details.Name);
   emit(ctx, Refuse{call.Handle, call.Key.Key, code, details.Result, call.RetryAfter, nextAttempt});
   forgetCall(ctx, call.Handle);
--- a/packages/node/Execute.cpp
+++ b/packages/node/Execute.cpp
@@ -1,4 +1,5 @@
 #include "node/Context.h"
+#include "retry/Backoff.h"
 
 #include <algorithm>
 #include <string>
@@ -11,9 +12,6 @@
 
 namespace {
 
-// Fail over to another back end at once the first time; then back off up to a second.
-constexpr std::chrono::milliseconds MinBackoff = 50ms;
-constexpr std::chrono::milliseconds MaxBackoff = 1000ms;
 // After this many failed back ends the request is refused instead of trying yet another.
 constexpr std::uint32_t MaxFailures = 12;
 
@@ -151,12 +149,9 @@
   ++execution.Failures;
   count(ctx, "retry", info(codeOf(failure)).Name);
   execution.Phase = ExecutionPhase::Choosing;
-  if (execution.Failures > 1) {
-    std::uniform_int_distribution<std::int64_t> jitter(
-        MinBackoff.count(), std::max(MinBackoff, 3 * execution.Backoff).count());
-    execution.Backoff = std::min(MaxBackoff, std::chrono::milliseconds(jitter(ctx.Rng)));
-  }
-  execution.NextTry = ctx.Time.Steady + execution.Backoff;
+  execution.LastFailure = codeOf(failure);
+  execution.NeedsBudget = true;
+  execution.NextTry = ctx.Time.Steady + retry::nextDelay(execution.Backoff, ctx.Rng);
   if (execution.Failures == 1)
     execution.ChooseDeadline = ctx.Time.Steady + ctx.S.Settings.BackendWait;
 }
@@ -181,8 +176,25 @@
     return;
   }
   scheduleRetry(ctx, execution, failure);
-  if (execution.NextTry <= ctx.Time.Steady)
-    chooseBackend(ctx, execution);
+}
+
+/// Takes a retry from the budgets if the next call needs one. Without one, repeatable work waits
+/// until its deadline, because an early refusal would only move the retry to the caller; other
+/// work, which has not run, is refused.
+bool mayRetry(Context &ctx, Execution &execution) {
+  if (!execution.NeedsBudget ||
+      retry::tryRetry(ctx.S.RetryBudgets, execution.Record.Key.Customer, ctx.Time)) {
+    execution.NeedsBudget = false;
+    return true;
+  }
+  count(ctx, "retry_delayed", info(ResultCode::RetryBudgetSpent).Name);
+  if (!execution.Record.Spec.Repeatable)
+    endNotRun(ctx, execution, execution.LastFailure);
+  else if (ctx.Time.Steady >= execution.ChooseDeadline)
+    endExecution(ctx, execution, ResultCode::RetryBudgetSpent);
+  else
+    execution.NextTry = ctx.Time.Steady + retry::nextDelay(execution.Backoff, ctx.Rng);
+  return false;
 }
 
 } // namespace
@@ -246,6 +258,8 @@
   const routing::ChoiceResult choice =
       routing::choose(ctx.S.Routes, workOf(execution), ctx.Time, ctx.Rng);
   if (choice && choice->Wait.count() == 0) {
+    if (!mayRetry(ctx, execution))
+      return;
     callBackend(ctx, execution, *choice);
     return;
   }
--- a/packages/node/Execution.h
+++ b/packages/node/Execution.h
@@ -39,7 +39,12 @@
   bool Sent = false;
   std::vector<std::string> Avoid;
   std::uint32_t Failures = 0;
-  std::chrono::milliseconds Backoff{0};
+  /// Last delay before a retry, 0 before the first.
+  Duration Backoff{0};
+  /// The next call to a back end is a retry that the budgets must allow.
+  bool NeedsBudget = false;
+  /// How the last call to a back end failed.
+  ResultCode LastFailure = ResultCode::Ok;
   /// Handle of an exported KV cache, used by the next call.
   std::string KvHandle;
   TimePoint NextTry{};
--- a/packages/node/Limits.cpp
+++ b/packages/node/Limits.cpp
@@ -67,6 +67,7 @@
   if (admission.Code == ResultCode::Ok) {
     call.HoldsSlot = true;
     call.AdmittedTokens = tokens;
+    retry::onRequest(ctx.S.RetryBudgets, contract.Customer, ctx.Time);
     return true;
   }
   refuseNotRun(ctx, call, admission.Code,
@@ -130,6 +131,10 @@
   if (ctx.Time.Steady < ctx.S.Limits.NextReport)
     return;
   ctx.S.Limits.NextReport = ctx.Time.Steady + limits::ReportInterval;
+  if (ctx.Time.Steady >= ctx.S.NextPrune) {
+    ctx.S.NextPrune = ctx.Time.Steady + std::chrono::minutes(1);
+    retry::prune(ctx.S.RetryBudgets, ctx.Time);
+  }
   limits::setLiveNodes(ctx.S.Limits.Node, membership::live(ctx.S.Members).size(), ctx.Time);
   sendReports(ctx);
   sendProbes(ctx);
--- a/packages/node/NodeTest.cpp
+++ b/packages/node/NodeTest.cpp
@@ -150,6 +150,26 @@
   checkSafe(driver.report());
 }
 
+// Guards against retries that multiply the load while every back end refuses connections.
+BOOST_AUTO_TEST_CASE(RetriesStayWithinTheirBudget) {
+  NodeDriver driver(small(), 9);
+  driver.runFor(15s);
+  for (std::size_t i = 0; i < 3; ++i)
+    driver.crashBackend(i);
+  const std::size_t before = driver.backendAttempts();
+  callMany(driver, "m", 500, true, 2);
+  driver.runFor(900ms);
+  const std::size_t tried = driver.backendAttempts() - before;
+  BOOST_TEST_MESSAGE("500 requests caused " << tried << " calls to back ends");
+  // 10% of the requests, or the minimum of 3/s on each of 5 nodes, of which a full second is saved.
+  BOOST_TEST(tried >= 500U);
+  BOOST_TEST(tried <= 600U);
+  for (std::size_t i = 0; i < 3; ++i)
+    driver.restoreBackend(i);
+  driver.runFor(60s);
+  BOOST_TEST(driver.report().Whole == 500U);
+}
+
 // Guards against stream slots that are not given back when calls end, or given back twice.
 BOOST_AUTO_TEST_CASE(EndedCallsGiveTheirSlotsBack) {
   NodeDriver driver(small(), 8);
--- a/packages/node/State.h
+++ b/packages/node/State.h
@@ -13,6 +13,7 @@
 #include "node/GrantLog.h"
 #include "node/Options.h"
 #include "record/State.h"
+#include "retry/Budget.h"
 #include "routing/Routing.h"
 #include "shard/ShardMap.h"
 
@@ -75,6 +76,8 @@
   routing::State Routes;
   ShardDutyState Duty;
   LimitsState Limits;
+  retry::Budgets RetryBudgets;
+  TimePoint NextPrune{};
   /// VMs that the platform's list shows as gone, with the latest time for which it does; bounded.
   std::map<std::string, WallTime> GoneVms;
   std::optional<LeavingState> Leaving;
--- a/packages/testing/NodeDriver.cpp
+++ b/packages/testing/NodeDriver.cpp
@@ -295,6 +295,7 @@
                   index,    Backends[index].Generation, call.Spec,
                   call.Key, call.ContinuationTokens};
   const Backend &backend = Backends[index];
+  ++BackendAttempts;
   if (backend.LeavingSince && Clock > *backend.LeavingSince + LeavingBound)
     ++LateToLeaving;
   if (!backend.Up || Clock >= backend.GoneAt) {
--- a/packages/testing/NodeDriver.h
+++ b/packages/testing/NodeDriver.h
@@ -108,6 +108,8 @@
   std::size_t mapWrites() const { return MapWrites; }
   /// Requests that back ends have begun to run.
   std::size_t backendStarts() const { return BackendStarts; }
+  /// Calls to back ends, also to those that are down.
+  std::size_t backendAttempts() const { return BackendAttempts; }
   Report report() const;
 
 private:
@@ -226,6 +228,7 @@
   unsigned LostAnswers = 0;
   std::size_t MapWrites = 0;
   std::size_t BackendStarts = 0;
+  std::size_t BackendAttempts = 0;
   TimePoint NextDuty{};
   TimePoint NextVmList{};
   Split Groups;
