Quarantine requests that crash back ends

Cause: the retry package's quarantine was not connected: a request that crashes every back end that runs it went from one to the next.

Change: when a back end that is not leaving dies, the content hash (kind, target, method, path and body) of each request on it becomes a suspect. Suspects run alone; content with two deaths is refused with quarantined, also for requests under way, which then claim unknown instead of not_run. The driver's request bodies differ by key unless a content is given.

Measured: CrashingRequestIsQuarantinedEverywhere: two back ends die, and re-sends under new keys are refused on all five nodes 1.9 s after the second death.

Conclusion: one request under one key kills at most two back ends, plus those that run copies of it on other nodes before the report arrives. Innocent requests that share both back ends are quarantined wrongly until back ends are reserved across nodes.

--- a/packages/node/Call.h
+++ b/packages/node/Call.h
@@ -50,6 +50,8 @@
   std::uint32_t Unanswered = 0;
   /// The standby has been asked to close, because the owner did not answer.
   bool AskedStandby = false;
+  /// A refusal must not claim that the request did not run.
+  bool MayHaveRun = false;
   ResultCode RefuseCode = ResultCode::Ok;
   std::chrono::milliseconds RetryAfter{0};
   /// When the current step is given up, and when it is repeated.
--- a/packages/node/Calls.cpp
+++ b/packages/node/Calls.cpp
@@ -59,7 +59,9 @@
     call.RetryAfter =
         std::chrono::ceil<std::chrono::milliseconds>(retry::spreadRetryAfter(ctx.Rng));
   count(ctx, "refused", details.Name);
-  emit(ctx, Refuse{call.Handle, call.Key.Key, code, details.Result, call.RetryAfter, nextAttempt});
+  const Outcome outcome =
+      call.MayHaveRun && details.Result == Outcome::NotRun ? Outcome::Unknown : details.Result;
+  emit(ctx, Refuse{call.Handle, call.Key.Key, code, outcome, call.RetryAfter, nextAttempt});
   forgetCall(ctx, call.Handle);
 }
 
--- a/packages/node/Context.h
+++ b/packages/node/Context.h
@@ -91,6 +91,12 @@
 void updateHomes(Context &ctx);
 void tickLimits(Context &ctx);
 
+// Crashing requests (Crashes.cpp).
+/// A back end died while it ran this content.
+void noteCrash(Context &ctx, std::uint64_t contentHash, const std::string &backend);
+void onCrashReport(Context &ctx, const message::CrashReport &report);
+void spreadCrashes(Context &ctx, const std::vector<NodeId> &members);
+
 // Reading (Reading.cpp).
 void startReading(Context &ctx, Call &call, const NodeId &source);
 void onChunk(Context &ctx, const NodeId &from, const message::Chunk &chunk);
--- /dev/null
+++ b/packages/node/Crashes.cpp
@@ -0,0 +1,40 @@
+#include "config/Store.h"
+#include "node/Context.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace chervil::node::detail {
+
+namespace {
+
+// A report passed on to three members in one round reaches about 94% of the nodes; in four rounds
+// each node is missed with a probability of e^-12.
+constexpr unsigned CrashRounds = 4;
+constexpr std::size_t CrashFanout = 3;
+
+} // namespace
+
+void noteCrash(Context &ctx, std::uint64_t contentHash, const std::string &backend) {
+  count(ctx, "suspect", "back_end_died");
+  ctx.S.Crashes.push_back(
+      {retry::onBackendDied(ctx.S.Quarantined, contentHash, backend, ctx.Time), CrashRounds});
+}
+
+void onCrashReport(Context &ctx, const message::CrashReport &report) {
+  if (retry::onCrashReport(ctx.S.Quarantined, report, ctx.Time))
+    ctx.S.Crashes.push_back({report, CrashRounds});
+}
+
+void spreadCrashes(Context &ctx, const std::vector<NodeId> &members) {
+  for (CrashNews &it : ctx.S.Crashes) {
+    std::vector<NodeId> chosen;
+    std::ranges::sample(members, std::back_inserter(chosen), CrashFanout, ctx.Rng);
+    for (const NodeId &to : chosen)
+      sendTo(ctx, to, it.Report);
+    --it.RoundsLeft;
+  }
+  std::erase_if(ctx.S.Crashes, [](const CrashNews &it) { return it.RoundsLeft == 0; });
+}
+
+} // namespace chervil::node::detail
--- a/packages/node/Documents.cpp
+++ b/packages/node/Documents.cpp
@@ -38,6 +38,7 @@
   for (const membership::Member *it : membership::live(ctx.S.Members))
     if (it->Info.Id != ctx.S.Self)
       members.push_back(it->Info.Id);
+  spreadCrashes(ctx, members);
   apply(ctx, config::spread(ctx.S.Documents, members, ctx.Rng, ctx.Time));
   ctx.S.Members.DocsHash = config::docsHash(ctx.S.Documents);
 }
--- a/packages/node/Execute.cpp
+++ b/packages/node/Execute.cpp
@@ -28,6 +28,7 @@
   work.Priority = spec.Priority;
   work.Repeatable = spec.Repeatable;
   work.Avoid = execution.Avoid;
+  work.Suspect = execution.Suspect;
   return work;
 }
 
@@ -83,6 +84,7 @@
   }
   execution.Phase = ExecutionPhase::Calling;
   execution.Sent = true;
+  execution.BackendLeaving = false;
   execution.Backend = choice.Backend;
   execution.Address = choice.Address;
   execution.BackendCall = ctx.S.NextBackendCall++;
@@ -178,6 +180,21 @@
   scheduleRetry(ctx, execution, failure);
 }
 
+/// The content has killed back ends. Earlier runs of this request may have been among them.
+void endQuarantined(Context &ctx, Execution &execution) {
+  if (execution.Failures == 0 && execution.Record.Answer.empty()) {
+    endNotRun(ctx, execution, ResultCode::Quarantined);
+    return;
+  }
+  for (const std::uint64_t handle : execution.Callers)
+    if (const auto it = ctx.S.Calls.find(handle); it != ctx.S.Calls.end())
+      it->second.MayHaveRun = true;
+  if (execution.Record.Spec.Repeatable)
+    endExecution(ctx, execution, ResultCode::Quarantined);
+  else
+    endNotRun(ctx, execution, ResultCode::Quarantined);
+}
+
 /// Takes a retry from the budgets if the next call needs one. Without one, repeatable work waits
 /// until its deadline, because an early refusal would only move the retry to the caller; other
 /// work, which has not run, is refused.
@@ -255,6 +272,13 @@
 }
 
 void chooseBackend(Context &ctx, Execution &execution) {
+  const retry::Standing standing =
+      retry::standing(ctx.S.Quarantined, execution.Record.BodyHash, ctx.Time);
+  if (standing == retry::Standing::Quarantined) {
+    endQuarantined(ctx, execution);
+    return;
+  }
+  execution.Suspect = standing == retry::Standing::Suspect;
   const routing::ChoiceResult choice =
       routing::choose(ctx.S.Routes, workOf(execution), ctx.Time, ctx.Rng);
   if (choice && choice->Wait.count() == 0) {
@@ -315,6 +339,8 @@
     return;
   }
   routing::requestFailed(ctx.S.Routes, end.Call, toRouting(end.Failure), ctx.Time);
+  if (end.Failure == BackendFailure::Died && !execution->BackendLeaving)
+    noteCrash(ctx, execution->Record.BodyHash, execution->Backend);
   // A part of a service's body is not a part of the answer of another call.
   if (execution->Record.Spec.Kind == WorkKind::Service)
     execution->Record.Answer.resize(0);
@@ -337,6 +363,7 @@
 void leaveBackend(Context &ctx, const std::string &backend, TimePoint) {
   // Streams continue from their tokens on another engine; the time left is needed for the export.
   for (auto &[key, execution] : ctx.S.Executions) {
+    execution.BackendLeaving |= execution.BackendCall != 0 && execution.Backend == backend;
     if (execution.Backend != backend || execution.Phase != ExecutionPhase::Calling ||
         execution.Record.Spec.Kind != WorkKind::Model)
       continue;
--- a/packages/node/Execution.h
+++ b/packages/node/Execution.h
@@ -39,8 +39,12 @@
   bool Sent = false;
   std::vector<std::string> Avoid;
   std::uint32_t Failures = 0;
+  /// A back end died with this content: it runs alone.
+  bool Suspect = false;
   /// Last delay before a retry, 0 before the first.
   Duration Backoff{0};
+  /// The current back end is about to stop, so its end says nothing about the request.
+  bool BackendLeaving = false;
   /// The next call to a back end is a retry that the budgets must allow.
   bool NeedsBudget = false;
   /// How the last call to a back end failed.
--- a/packages/node/Gateway.cpp
+++ b/packages/node/Gateway.cpp
@@ -272,6 +272,11 @@
     refuseNotRun(ctx, added, ResultCode::NodeLeaving, 100ms);
     return;
   }
+  const std::uint64_t content = added.Request.Record.BodyHash;
+  if (retry::standing(state.Quarantined, content, ctx.Time) == retry::Standing::Quarantined) {
+    refuseNotRun(ctx, added, ResultCode::Quarantined);
+    return;
+  }
   if (admitCall(ctx, added, *contract))
     ask(ctx, added);
 }
--- a/packages/node/Limits.cpp
+++ b/packages/node/Limits.cpp
@@ -134,6 +134,7 @@
   if (ctx.Time.Steady >= ctx.S.NextPrune) {
     ctx.S.NextPrune = ctx.Time.Steady + std::chrono::minutes(1);
     retry::prune(ctx.S.RetryBudgets, ctx.Time);
+    retry::prune(ctx.S.Quarantined, ctx.Time);
   }
   limits::setLiveNodes(ctx.S.Limits.Node, membership::live(ctx.S.Members).size(), ctx.Time);
   sendReports(ctx);
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -89,7 +89,7 @@
   void operator()(const message::ShareGrant &m) const { onShareGrant(Ctx, From, m); }
   void operator()(const message::EpochProbe &m) const { onEpochProbe(Ctx, From, m); }
   void operator()(const message::EpochConfirm &m) const { onEpochConfirm(Ctx, From, m); }
-  void operator()(const message::CrashReport &) const {}
+  void operator()(const message::CrashReport &m) const { onCrashReport(Ctx, m); }
   void operator()(const message::BackendNews &m) const {
     routing::backendNews(Ctx.S.Routes, m, Ctx.Time);
   }
--- a/packages/node/NodeTest.cpp
+++ b/packages/node/NodeTest.cpp
@@ -170,6 +170,51 @@
   BOOST_TEST(driver.report().Whole == 500U);
 }
 
+namespace {
+
+/// Thirty requests run when one arrives that crashes each back end that runs it; ends with its
+/// second crash.
+NodeDriver driverWithCrashes() {
+  DriverOptions options = small();
+  options.Backends = 6;
+  NodeDriver driver(options, 10);
+  driver.runFor(15s);
+  callMany(driver, "m", 30, true, 100);
+  driver.runFor(100ms);
+  driver.call({"bad", true, 20, 0, CrashingContent});
+  for (int i = 0; i < 100 && driver.contentCrashes() < 2; ++i)
+    driver.runFor(100ms);
+  return driver;
+}
+
+} // namespace
+
+// Guards against a request that takes down one back end after the other while its caller sends it
+// again. One request kills at most two back ends: its second death quarantines it on the node that
+// runs it, and each node with a copy of its own can add one before the report arrives.
+BOOST_AUTO_TEST_CASE(CrashingRequestIsQuarantinedEverywhere) {
+  NodeDriver driver = driverWithCrashes();
+  BOOST_TEST(driver.contentCrashes() == 2U);
+  driver.runFor(1900ms);
+  const std::size_t nodes = small().Nodes;
+  for (std::size_t i = 0; i < nodes; ++i)
+    driver.call({"again" + std::to_string(i), true, 20, i, CrashingContent});
+  driver.runFor(100ms);
+  for (std::size_t i = 0; i < nodes; ++i)
+    BOOST_TEST((driver.lastCode("again" + std::to_string(i)) == ResultCode::Quarantined));
+  driver.runFor(60s);
+  BOOST_TEST(driver.contentCrashes() == 2U);
+  checkSafe(driver.report());
+}
+
+// Guards against innocent requests that are lost with the back ends a crashing request took down.
+// See KNOWN-RED.txt.
+BOOST_AUTO_TEST_CASE(InnocentsOfACrashFinish, *boost::unit_test::disabled()) {
+  NodeDriver driver = driverWithCrashes();
+  driver.runFor(60s);
+  BOOST_TEST(driver.report().Whole == 30U);
+}
+
 // Guards against stream slots that are not given back when calls end, or given back twice.
 BOOST_AUTO_TEST_CASE(EndedCallsGiveTheirSlotsBack) {
   NodeDriver driver(small(), 8);
--- a/packages/node/Reading.cpp
+++ b/packages/node/Reading.cpp
@@ -75,6 +75,8 @@
     call->RefuseCode = end.Code;
     return;
   }
+  // A run of the request may have found the content in quarantine only after a back end died.
+  call->MayHaveRun = end.Code == ResultCode::Quarantined;
   refuseCall(ctx, *call, end.Code);
 }
 
--- a/packages/node/State.h
+++ b/packages/node/State.h
@@ -14,6 +14,7 @@
 #include "node/Options.h"
 #include "record/State.h"
 #include "retry/Budget.h"
+#include "retry/Quarantine.h"
 #include "routing/Routing.h"
 #include "shard/ShardMap.h"
 
@@ -54,6 +55,12 @@
   TimePoint NextReport{};
 };
 
+/// A crash report that is being passed on.
+struct CrashNews {
+  message::CrashReport Report;
+  unsigned RoundsLeft = 0;
+};
+
 /// Set once the node is to stop.
 struct LeavingState {
   WallTime By{};
@@ -77,6 +84,8 @@
   ShardDutyState Duty;
   LimitsState Limits;
   retry::Budgets RetryBudgets;
+  retry::Quarantine Quarantined;
+  std::vector<CrashNews> Crashes;
   TimePoint NextPrune{};
   /// VMs that the platform's list shows as gone, with the latest time for which it does; bounded.
   std::map<std::string, WallTime> GoneVms;
--- a/packages/testing/NodeDriver.cpp
+++ b/packages/testing/NodeDriver.cpp
@@ -329,6 +329,12 @@
     }
     const bool model = it.Spec.Kind == message::WorkKind::Model;
     const unsigned tokens = model ? static_cast<unsigned>(std::stoul(it.Spec.Body)) : 1;
+    if (it.Spec.Body.ends_with(" " + CrashingContent) && it.NextToken > 0) {
+      crashBackend(it.Backend);
+      ++ContentCrashes;
+      endCall(it, node::BackendFailure::Died);
+      continue;
+    }
     if (!model && Clock - it.StartedAt < Options.ServiceTime) {
       Calls.push_back(std::move(it));
       continue;
@@ -381,7 +387,9 @@
   request.Spec.Target = caller.Request.Repeatable ? "model" : "service";
   request.Spec.Method = caller.Request.Repeatable ? "" : "POST";
   request.Spec.Path = caller.Request.Repeatable ? "" : "/agreements";
-  request.Spec.Body = std::to_string(caller.Request.Tokens);
+  const std::string &content = caller.Request.Content;
+  request.Spec.Body = std::to_string(caller.Request.Tokens) + " " +
+                      (content.empty() ? caller.Request.Key : content);
   post(caller.Gateway, std::move(request), 1ms);
 }
 
--- a/packages/testing/NodeDriver.h
+++ b/packages/testing/NodeDriver.h
@@ -45,8 +45,13 @@
   /// Length of a model answer.
   unsigned Tokens = 20;
   std::size_t Gateway = 0;
+  /// Part of the body; the key unless set, so that requests differ.
+  std::string Content;
 };
 
+/// Content that crashes each back end that runs it.
+inline const std::string CrashingContent = "crash";
+
 /// What the callers and the back ends saw.
 struct Report {
   std::size_t Requests = 0;
@@ -107,6 +112,10 @@
   const node::State &state(std::size_t node) const { return *Slots[node].State; }
   std::size_t mapWrites() const { return MapWrites; }
   /// Requests that back ends have begun to run.
+  /// Back ends that died of CrashingContent.
+  std::size_t contentCrashes() const { return ContentCrashes; }
+  /// Code of the last refusal of a request; Ok before the first.
+  ResultCode lastCode(const std::string &key) const { return Callers.at(key).LastCode; }
   std::size_t backendStarts() const { return BackendStarts; }
   /// Calls to back ends, also to those that are down.
   std::size_t backendAttempts() const { return BackendAttempts; }
@@ -228,6 +237,7 @@
   unsigned LostAnswers = 0;
   std::size_t MapWrites = 0;
   std::size_t BackendStarts = 0;
+  std::size_t ContentCrashes = 0;
   std::size_t BackendAttempts = 0;
   TimePoint NextDuty{};
   TimePoint NextVmList{};
