--- a/packages/node/Execute.cpp
+++ b/packages/node/Execute.cpp
@@ -1,4 +1,5 @@
 #include "node/Context.h"
+#include "retry/Backoff.h"
 
 #include <algorithm>
 #include <string>
@@ -11,9 +12,6 @@
 
 namespace {
 
-// Fail over to another back end at once the first time; then back off up to a second.
-constexpr std::chrono::milliseconds MinBackoff = 50ms;
-constexpr std::chrono::milliseconds MaxBackoff = 1000ms;
 // After this many failed back ends the request is refused instead of trying yet another.
 constexpr std::uint32_t MaxFailures = 12;
 
@@ -30,6 +28,7 @@
   work.Priority = spec.Priority;
   work.Repeatable = spec.Repeatable;
   work.Avoid = execution.Avoid;
+  work.Suspect = execution.Suspect;
   return work;
 }
 
@@ -85,6 +84,7 @@
   }
   execution.Phase = ExecutionPhase::Calling;
   execution.Sent = true;
+  execution.BackendLeaving = false;
   execution.Backend = choice.Backend;
   execution.Address = choice.Address;
   execution.BackendCall = ctx.S.NextBackendCall++;
@@ -151,12 +151,9 @@
   ++execution.Failures;
   count(ctx, "retry", info(codeOf(failure)).Name);
   execution.Phase = ExecutionPhase::Choosing;
-  if (execution.Failures > 1) {
-    std::uniform_int_distribution<std::int64_t> jitter(
-        MinBackoff.count(), std::max(MinBackoff, 3 * execution.Backoff).count());
-    execution.Backoff = std::min(MaxBackoff, std::chrono::milliseconds(jitter(ctx.Rng)));
-  }
-  execution.NextTry = ctx.Time.Steady + execution.Backoff;
+  execution.LastFailure = codeOf(failure);
+  execution.NeedsBudget = true;
+  execution.NextTry = ctx.Time.Steady + retry::nextDelay(execution.Backoff, ctx.Rng);
   if (execution.Failures == 1)
     execution.ChooseDeadline = ctx.Time.Steady + ctx.S.Settings.BackendWait;
 }
@@ -181,8 +178,40 @@
     return;
   }
   scheduleRetry(ctx, execution, failure);
-  if (execution.NextTry <= ctx.Time.Steady)
-    chooseBackend(ctx, execution);
+}
+
+/// The content has killed back ends. Earlier runs of this request may have been among them.
+void endQuarantined(Context &ctx, Execution &execution) {
+  if (execution.Failures == 0 && execution.Record.Answer.empty()) {
+    endNotRun(ctx, execution, ResultCode::Quarantined);
+    return;
+  }
+  for (const std::uint64_t handle : execution.Callers)
+    if (const auto it = ctx.S.Calls.find(handle); it != ctx.S.Calls.end())
+      it->second.MayHaveRun = true;
+  if (execution.Record.Spec.Repeatable)
+    endExecution(ctx, execution, ResultCode::Quarantined);
+  else
+    endNotRun(ctx, execution, ResultCode::Quarantined);
+}
+
+/// Takes a retry from the budgets if the next call needs one. Without one, repeatable work waits
+/// until its deadline, because an early refusal would only move the retry to the caller; other
+/// work, which has not run, is refused.
+bool mayRetry(Context &ctx, Execution &execution) {
+  if (!execution.NeedsBudget ||
+      retry::tryRetry(ctx.S.RetryBudgets, execution.Record.Key.Customer, ctx.Time)) {
+    execution.NeedsBudget = false;
+    return true;
+  }
+  count(ctx, "retry_delayed", info(ResultCode::RetryBudgetSpent).Name);
+  if (!execution.Record.Spec.Repeatable)
+    endNotRun(ctx, execution, execution.LastFailure);
+  else if (ctx.Time.Steady >= execution.ChooseDeadline)
+    endExecution(ctx, execution, ResultCode::RetryBudgetSpent);
+  else
+    execution.NextTry = ctx.Time.Steady + retry::nextDelay(execution.Backoff, ctx.Rng);
+  return false;
 }
 
 } // namespace
@@ -245,9 +274,18 @@
 }
 
 void chooseBackend(Context &ctx, Execution &execution) {
+  const retry::Standing standing =
+      retry::standing(ctx.S.Quarantined, execution.Record.BodyHash, ctx.Time);
+  if (standing == retry::Standing::Quarantined) {
+    endQuarantined(ctx, execution);
+    return;
+  }
+  execution.Suspect = standing == retry::Standing::Suspect;
   const routing::ChoiceResult choice =
       routing::choose(ctx.S.Routes, workOf(execution), ctx.Time, ctx.Rng);
   if (choice && choice->Wait.count() == 0) {
+    if (!mayRetry(ctx, execution))
+      return;
     callBackend(ctx, execution, *choice);
     return;
   }
@@ -303,6 +341,8 @@
     return;
   }
   routing::requestFailed(ctx.S.Routes, end.Call, toRouting(end.Failure), ctx.Time);
+  if (end.Failure == BackendFailure::Died && !execution->BackendLeaving)
+    noteCrash(ctx, execution->Record.BodyHash, execution->Backend);
   // A part of a service's body is not a part of the answer of another call.
   if (execution->Record.Spec.Kind == WorkKind::Service)
     execution->Record.Answer.resize(0);
@@ -325,6 +365,7 @@
 void leaveBackend(Context &ctx, const std::string &backend, TimePoint) {
   // Streams continue from their tokens on another engine; the time left is needed for the export.
   for (auto &[key, execution] : ctx.S.Executions) {
+    execution.BackendLeaving |= execution.BackendCall != 0 && execution.Backend == backend;
     if (execution.Backend != backend || execution.Phase != ExecutionPhase::Calling ||
         execution.Record.Spec.Kind != WorkKind::Model)
       continue;
--- a/packages/node/State.h
+++ b/packages/node/State.h
@@ -13,6 +13,8 @@
 #include "node/GrantLog.h"
 #include "node/Options.h"
 #include "record/State.h"
+#include "retry/Budget.h"
+#include "retry/Quarantine.h"
 #include "routing/Routing.h"
 #include "shard/ShardMap.h"
 
@@ -53,6 +55,12 @@
   TimePoint NextReport{};
 };
 
+/// A crash report that is being passed on.
+struct CrashNews {
+  message::CrashReport Report;
+  unsigned RoundsLeft = 0;
+};
+
 /// Set once the node is to stop.
 struct LeavingState {
   WallTime By{};
@@ -75,6 +83,10 @@
   routing::State Routes;
   ShardDutyState Duty;
   LimitsState Limits;
+  retry::Budgets RetryBudgets;
+  retry::Quarantine Quarantined;
+  std::vector<CrashNews> Crashes;
+  TimePoint NextPrune{};
   /// VMs that the platform's list shows as gone, with the latest time for which it does; bounded.
   std::map<std::string, WallTime> GoneVms;
   std::optional<LeavingState> Leaving;
--- a/packages/testing/NodeDriver.cpp
+++ b/packages/testing/NodeDriver.cpp
@@ -295,6 +295,7 @@
                   index,    Backends[index].Generation, call.Spec,
                   call.Key, call.ContinuationTokens};
   const Backend &backend = Backends[index];
+  ++BackendAttempts;
   if (backend.LeavingSince && Clock > *backend.LeavingSince + LeavingBound)
     ++LateToLeaving;
   if (!backend.Up || Clock >= backend.GoneAt) {
@@ -328,6 +329,12 @@
     }
     const bool model = it.Spec.Kind == message::WorkKind::Model;
     const unsigned tokens = model ? static_cast<unsigned>(std::stoul(it.Spec.Body)) : 1;
+    if (it.Spec.Body.ends_with(" " + CrashingContent) && it.NextToken > 0) {
+      crashBackend(it.Backend);
+      ++ContentCrashes;
+      endCall(it, node::BackendFailure::Died);
+      continue;
+    }
     if (!model && Clock - it.StartedAt < Options.ServiceTime) {
       Calls.push_back(std::move(it));
       continue;
@@ -380,7 +387,9 @@
   request.Spec.Target = caller.Request.Repeatable ? "model" : "service";
   request.Spec.Method = caller.Request.Repeatable ? "" : "POST";
   request.Spec.Path = caller.Request.Repeatable ? "" : "/agreements";
-  request.Spec.Body = std::to_string(caller.Request.Tokens);
+  const std::string &content = caller.Request.Content;
+  request.Spec.Body = std::to_string(caller.Request.Tokens) + " " +
+                      (content.empty() ? caller.Request.Key : content);
   post(caller.Gateway, std::move(request), 1ms);
 }
 
