node: refuse requests that arrive after the drain

A drained node went on accepting requests until its process ended, 300 ms later. Ruled out: refused connections (the load tool resumed the calls by key, which it does only when bytes were sent). Change: a node that has announced its stop refuses requests with node_leaving, not_run. Conclusion: half of the fix; the daemon must also outlive such calls.

--- a/packages/node/Gateway.cpp
+++ b/packages/node/Gateway.cpp
@@ -266,7 +266,8 @@
   record.Spec.Hint = std::move(request.Hint);
   record.BodyHash = hashOfSpec(record.Spec);
   Call &added = addCall(state, std::move(call));
-  if (state.Leaving && state.Leaving->HandingOver) {
+  // A drained node is about to end; what it accepted now would be cut.
+  if (state.Leaving && (state.Leaving->HandingOver || state.Leaving->StoppedSent)) {
     refuseNotRun(ctx, added, ResultCode::NodeLeaving, 100ms);
     return;
   }
--- a/packages/node/NodeTest.cpp
+++ b/packages/node/NodeTest.cpp
@@ -111,6 +111,32 @@
   checkSafe(report);
 }
 
+// Guards against a request that is accepted between the end of the drain and the end of the
+// process.
+BOOST_AUTO_TEST_CASE(DrainedNodeAcceptsNothing) {
+  NodeDriver driver(small(), 7);
+  driver.runFor(15s);
+  node::State state = driver.state(0);
+  state.Leaving = node::LeavingState{.StoppedSent = true};
+  node::CallerRequest request;
+  request.Handle = 1'000'000;
+  request.Token = "secret-token-of-acme";
+  request.Key = "late";
+  request.Spec.Kind = message::WorkKind::Model;
+  request.Spec.Target = "model";
+  request.Spec.Body = "20";
+  Random rng(1);
+  const Now now{TimePoint(std::chrono::seconds(1015)), WallTime(1'764'000'015'000ms)};
+  std::size_t refused = 0;
+  for (const node::Effect &it : node::handle(state, request, now, rng))
+    if (const auto *refuse = std::get_if<node::Refuse>(&it)) {
+      ++refused;
+      BOOST_TEST((refuse->Code == ResultCode::NodeLeaving));
+      BOOST_TEST((refuse->Result == Outcome::NotRun));
+    }
+  BOOST_TEST(refused == 1U);
+}
+
 // Guards against failures of callers while the key-value service is down.
 BOOST_AUTO_TEST_CASE(OutageOfTheKeyValueServiceIsNotSeen) {
   NodeDriver driver(small(), 6);
