--- a/packages/node/Gateway.cpp
+++ b/packages/node/Gateway.cpp
@@ -370,7 +370,11 @@
     if (call.Mode != CallMode::Closing || call.Asked != from ||
         call.Request.Record.Attempt != reply.Attempt)
       continue;
-    if (reply.Code == ResultCode::Ok)
+    // The standby refuses later marks, but the owner may be given another standby that does not
+    // know of the close: only the owner's word, with its standby's, is "not run".
+    if (reply.Code == ResultCode::Ok && call.AskedStandby)
+      refuseCall(ctx, call, ResultCode::OwnerUnreachable);
+    else if (reply.Code == ResultCode::Ok)
       refuseCall(ctx, call, call.RefuseCode, reply.Attempt + 1);
     else if (reply.Code == ResultCode::StaleEpoch || reply.Code == ResultCode::NotReady)
       call.NextTry = ctx.Time.Steady + ctx.S.Settings.RepeatDelay;
