Mend three lint findings

Cause: the first lint of the whole tree found an unused using, a missing namespace comment and a parameter copied for nothing. Change: these three places.

--- a/packages/daemon/CallerApi.cpp
+++ b/packages/daemon/CallerApi.cpp
@@ -149,7 +149,7 @@
 
 } // namespace
 
-void onRequest(CallerApi &api, net::HttpServer &server, net::HttpRequest request) {
+void onRequest(CallerApi &api, net::HttpServer &server, const net::HttpRequest &request) {
   if (request.BodyTooLarge) {
     refuse(api, server, request.Id, {ResultCode::BodyTooLarge, "the body is too large"});
     return;
--- a/packages/daemon/CallerApi.h
+++ b/packages/daemon/CallerApi.h
@@ -40,7 +40,7 @@
   std::unordered_map<std::uint64_t, CallerResponse> Open;
 };
 
-void onRequest(CallerApi &api, net::HttpServer &server, net::HttpRequest request);
+void onRequest(CallerApi &api, net::HttpServer &server, const net::HttpRequest &request);
 
 /// The caller's connection ended.
 void onGone(CallerApi &api, std::uint64_t handle);
--- a/packages/daemon/CallerApiTest.cpp
+++ b/packages/daemon/CallerApiTest.cpp
@@ -32,7 +32,7 @@
     Api.Addresses = [](std::string_view) { return std::vector<std::string>{"10.0.0.1:80"}; };
     Server = std::move(*net::startHttpServer(
         Loop, {.MaxBody = 2000},
-        {.OnRequest = [this](net::HttpRequest &&r) { onRequest(Api, *Server, std::move(r)); },
+        {.OnRequest = [this](net::HttpRequest &&r) { onRequest(Api, *Server, r); },
          .OnGone = [this](std::uint64_t id) { onGone(Api, id); }}));
   }
 
--- a/packages/daemon/Daemon.cpp
+++ b/packages/daemon/Daemon.cpp
@@ -151,10 +151,10 @@
   return {};
 }
 
-void onCallerRequest(Daemon &daemon, net::HttpRequest request) {
+void onCallerRequest(Daemon &daemon, const net::HttpRequest &request) {
   if (request.Path != "/v1/entry")
     daemon.Times[request.Id].Started = net::readNow().Steady;
-  onRequest(daemon.Callers, *daemon.CallerServer, std::move(request));
+  onRequest(daemon.Callers, *daemon.CallerServer, request);
 }
 
 Result<void> startCallerServer(Daemon &daemon) {
@@ -163,7 +163,7 @@
     return tl::make_unexpected(options.error());
   auto server = net::startHttpServer(
       daemon.Loop, std::move(*options),
-      {.OnRequest = [&daemon](net::HttpRequest &&r) { onCallerRequest(daemon, std::move(r)); },
+      {.OnRequest = [&daemon](net::HttpRequest &&r) { onCallerRequest(daemon, r); },
        .OnGone =
            [&daemon](std::uint64_t id) {
              daemon.Times.erase(id);
--- a/packages/record/RecordTest.cpp
+++ b/packages/record/RecordTest.cpp
@@ -9,7 +9,6 @@
 
 using namespace chervil;
 using namespace chervil::record;
-using message::RecordState;
 using message::Verdict;
 
 namespace {
--- a/packages/record/Retention.cpp
+++ b/packages/record/Retention.cpp
@@ -11,7 +11,7 @@
 
 namespace detail {
 void settle(State &state, const Pending &pending, ResultCode code, Effects &effects);
-}
+} // namespace detail
 
 namespace {
 
