daemon: serve refusals until callers' entry lists expire

The process ended 300 ms after the drain whatever had arrived. Change: after the drain the daemon goes on for entry_ttl and until no caller waits; requests are refused by the node meanwhile.

--- a/packages/daemon/Daemon.cpp
+++ b/packages/daemon/Daemon.cpp
@@ -22,6 +22,22 @@
 // Time for the last responses to leave the sockets.
 constexpr Duration FlushTime = 300ms;
 
+/// Ends the loop at `earliest` or later, when no caller waits for an answer.
+void stopWhenQuiet(Daemon &daemon, TimePoint earliest) {
+  net::after(daemon.Timers, FlushTime, [&daemon, earliest] {
+    if (daemon.Stopping)
+      return;
+    const bool isQuiet = daemon.Node.Calls.empty() && daemon.Node.Executions.empty() &&
+                         net::openRequests(*daemon.CallerServer) == 0;
+    if (!isQuiet || net::readNow().Steady < earliest) {
+      stopWhenQuiet(daemon, earliest);
+      return;
+    }
+    daemon.Stopping = true;
+    net::stop(daemon.Loop);
+  });
+}
+
 std::uint64_t seedOf(const NodeSettings &settings, const Now &now) {
   return hashBytes(settings.Node.Name,
                    static_cast<std::uint64_t>(now.Wall.time_since_epoch().count()));
@@ -74,11 +90,9 @@
     LOG(ERROR) << "invariant: " << toString(e.What) << " is violated: " << e.Detail;
   }
   void operator()(const node::Stopped &) const {
-    if (D.Stopping)
-      return;
-    D.Stopping = true;
     LOG(INFO) << "daemon: nothing is left to do, the node stops.";
-    net::after(D.Timers, FlushTime, [&d = D] { net::stop(d.Loop); });
+    // Callers use the entry list they hold until it expires; their requests are refused until then.
+    stopWhenQuiet(D, net::readNow().Steady + D.Settings.Requests.EntryTtl);
   }
 
 private:
