--- a/tools/lib/chaos.py
+++ b/tools/lib/chaos.py
@@ -33,6 +33,8 @@
 NODES_FREE = 3
 MEAN_GAP_S = 2.5
 CRASH_GAP_S = 60
+# Engines that one crashing request may take with it.
+DEATHS_MAX = 2
 WHOLE_TIMEOUT_S = 60
 # Longest answer of the run. One of 4000 tokens takes 80 s, longer than most runs.
 MAX_TOKENS = 1200
@@ -61,6 +63,8 @@
         self.versions = {}
         self.accepted = {}
         self.racing = set()
+        self.deaths = 0
+        self.crash_requests = 0
 
     # Report.
 
@@ -270,6 +274,7 @@
         node = self.fleet.node(rng.choice(self.node_names()))
         body = {"model": kind["model"], "max_tokens": 50, "messages": [
             {"role": "user", "content": "[crash-engine] %d" % rng.getrandbits(32)}]}
+        self.crash_requests += 1
         self.fault("a request that crashes engines is sent to %s" % node["name"])
         request = urllib.request.Request(
             "http://%s/v1/chat/completions" % self.fleet.caller(node),
@@ -400,11 +405,19 @@
                 if free and not self.fleet.is_running(name):
                     if died.setdefault(name, time.time()) + 1 < time.time():
                         del died[name]
+                        self.note_death(name)
                         self.say("engine %s died and is started again" % name)
                         self.fleet.respawn(name)
             for it in self.fleet.nodes:
                 self.watch_node(it)
 
+    def note_death(self, name):
+        """Section 9 of the design page: after two deaths the request is quarantined."""
+        self.deaths += 1
+        if self.deaths == DEATHS_MAX * self.crash_requests + 1:
+            self.fail("engine %s is number %d to die of %d crashing request(s), %d are allowed"
+                      % (name, self.deaths, self.crash_requests, self.deaths - 1))
+
     def watch_node(self, it):
         name = it["name"]
         process = self.fleet.processes[name]
