Share the choice of a successor node and the check after a loss

Cause: two functions in node chose a live node by rendezvous hash, and record repeated the loss check of shard. Change: one function each; record uses the stricter check of shard, which waits two clock margins longer after the retry horizon. Measured: record_test and node_test (without the known red case) pass. Conclusion: behaviour is otherwise the same.

--- a/packages/node/Context.cpp
+++ b/packages/node/Context.cpp
@@ -63,27 +63,24 @@
   return &state.Records.Shards[record::shardOf(state.Records, key)];
 }
 
-namespace {
-
-/// Live node with the highest hash for the key, in another data centre if there is one.
-NodeId rendezvous(const State &state, const RequestKey &key) {
+NodeId rendezvousNode(const State &state, const RequestKey &key,
+                      const std::function<bool(const NodeId &)> &excluded) {
   NodeId best = state.Self;
   std::pair<int, std::uint64_t> bestScore{0, 0};
   for (const membership::Member *it : membership::live(state.Members)) {
-    if (it->Info.Id == state.Self || !isStaying(state, it->Info.Id))
+    const NodeId &id = it->Info.Id;
+    if (id == state.Self || !isStaying(state, id) || (excluded && excluded(id)))
       continue;
     const int rank = it->Info.DataCentre != state.DataCentre ? 2 : 1;
-    const std::pair<int, std::uint64_t> score{rank, hashBytes(it->Info.Id.Name, hashOf(key))};
+    const std::pair<int, std::uint64_t> score{rank, hashBytes(id.Name, hashOf(key))};
     if (score > bestScore) {
       bestScore = score;
-      best = it->Info.Id;
+      best = id;
     }
   }
   return best;
 }
 
-} // namespace
-
 std::optional<Holder> holderFor(const State &state, const RequestKey &key, bool repeatable,
                                 bool avoidOwner) {
   const record::ShardView *shard = shardFor(state, key);
@@ -95,7 +92,7 @@
   if (shard != nullptr && isSet(shard->Standby) && shard->Standby != state.Self &&
       isStaying(state, shard->Standby))
     return Holder{shard->Standby, true};
-  return Holder{rendezvous(state, key), true};
+  return Holder{rendezvousNode(state, key, {}), true};
 }
 
 } // namespace chervil::node::detail
--- a/packages/node/Context.h
+++ b/packages/node/Context.h
@@ -9,6 +9,7 @@
 #include "record/Effects.h"
 
 #include <deque>
+#include <functional>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -49,6 +50,11 @@
 /// The shard of a key under the current map; null without a map.
 const record::ShardView *shardFor(const State &state, const RequestKey &key);
 
+/// The staying node with the highest hash for the key, in another data centre if there is one; this
+/// node if there is no other. `excluded` may be empty.
+NodeId rendezvousNode(const State &state, const RequestKey &key,
+                      const std::function<bool(const NodeId &)> &excluded);
+
 /// The owner if it is alive; for repeatable work else the standby, else a live node in another data
 /// centre chosen by rendezvous hash of the key, else any other node, else this node. `avoidOwner`
 /// passes over an owner that did not answer.
--- a/packages/node/Leaving.cpp
+++ b/packages/node/Leaving.cpp
@@ -17,20 +17,8 @@
       if (isSet(it) && it != state.Self && isStaying(state, it) && !refused(it))
         return it;
   }
-  NodeId best;
-  std::pair<int, std::uint64_t> bestScore{0, 0};
-  for (const membership::Member *it : membership::live(state.Members)) {
-    const NodeId &id = it->Info.Id;
-    if (id == state.Self || !isStaying(state, id) || refused(id))
-      continue;
-    const int rank = it->Info.DataCentre != state.DataCentre ? 2 : 1;
-    const std::pair<int, std::uint64_t> score{rank, hashBytes(id.Name, hashOf(key))};
-    if (score > bestScore) {
-      bestScore = score;
-      best = id;
-    }
-  }
-  return best;
+  const NodeId other = rendezvousNode(state, key, refused);
+  return other == state.Self ? NodeId{} : other;
 }
 
 void handOver(Context &ctx, Execution &execution) {
--- a/packages/record/Close.cpp
+++ b/packages/record/Close.cpp
@@ -40,7 +40,7 @@
     return effects;
   }
   const detail::Known known = detail::lookUp(state, close.Key);
-  if (!known.Exists && !mayRunAfterLoss(shard, state.Settings, close.Key.Key, now.Wall)) {
+  if (!known.Exists && !mayRunAfterLoss(shard, state.Settings, close.Key, now.Wall)) {
     reply(effects, from, close, ResultCode::ShardLost);
     return effects;
   }
--- a/packages/record/Owner.cpp
+++ b/packages/record/Owner.cpp
@@ -182,7 +182,7 @@
     return;
   }
   if (!detail::lookUp(state, copy.Key).Exists &&
-      !mayRunAfterLoss(shard, state.Settings, copy.Key.Key, now.Wall)) {
+      !mayRunAfterLoss(shard, state.Settings, copy.Key, now.Wall)) {
     refuse(effects, from, copy, ResultCode::ShardLost);
     return;
   }
--- a/packages/record/State.cpp
+++ b/packages/record/State.cpp
@@ -1,6 +1,6 @@
 #include "record/State.h"
 
-#include "base/Uuid.h"
+#include "shard/Checks.h"
 
 namespace chervil::record {
 
@@ -10,12 +10,12 @@
   return static_cast<std::uint32_t>(hashOf(key) % state.Shards.size());
 }
 
-bool mayRunAfterLoss(const ShardView &shard, const Options &options, const std::string &key,
+bool mayRunAfterLoss(const ShardView &shard, const Options &options, const RequestKey &key,
                      WallTime now) {
-  if (!shard.Lost || now > shard.LostSince + options.RetryHorizon)
-    return true;
-  const auto created = uuid7Time(key);
-  return created.has_value() && *created > shard.LostSince + 2 * options.ClockMargin;
+  shard::Placement placement;
+  if (shard.Lost)
+    placement.LostSince = shard.LostSince;
+  return shard::mayRunAfterLoss(placement, key, now, options.ClockMargin, options.RetryHorizon);
 }
 
 } // namespace chervil::record
--- a/packages/record/State.h
+++ b/packages/record/State.h
@@ -71,7 +71,7 @@
 
 /// True if `key` is provably younger than the loss of the shard's marks, or the retry horizon has
 /// passed since the loss.
-bool mayRunAfterLoss(const ShardView &shard, const Options &options, const std::string &key,
+bool mayRunAfterLoss(const ShardView &shard, const Options &options, const RequestKey &key,
                      WallTime now);
 
 } // namespace chervil::record
