--- a/tools/lib/bench.py
+++ b/tools/lib/bench.py
@@ -18,6 +18,8 @@
 WARM_UP_S = 6
 SHORT_CALLS_PER_SECOND = 3000
 IDLE_S = 10
+# The first shard map is balanced in small steps after the start.
+SETTLE_S = 30
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 
 
@@ -178,7 +180,7 @@
 def idle(_):
     """Control traffic and processor time of 8 nodes without load."""
     with Bench(8, 2, 16, 10000) as bench:
-        time.sleep(5)
+        time.sleep(SETTLE_S)
         before = {it["name"]: (bench.fleet.metrics(it), bench.usage(it["name"]))
                   for it in bench.fleet.nodes}
         calls = bench.kv_calls()
