record: look a non-repeatable key up once when it is accepted

Cause: acceptOnce looked the same key up twice with nothing changed in between. Change: one look-up before the loss check serves both uses. Conclusion: behaviour is the same.

--- a/packages/record/Owner.cpp
+++ b/packages/record/Owner.cpp
@@ -181,8 +181,8 @@
     refuse(effects, from, copy, ResultCode::KeyTimeInFuture);
     return;
   }
-  if (!detail::lookUp(state, copy.Key).Exists &&
-      !mayRunAfterLoss(shard, state.Settings, copy.Key, now.Wall)) {
+  const detail::Known before = detail::lookUp(state, copy.Key);
+  if (!before.Exists && !mayRunAfterLoss(shard, state.Settings, copy.Key, now.Wall)) {
     refuse(effects, from, copy, ResultCode::ShardLost);
     return;
   }
@@ -191,7 +191,6 @@
     refuse(effects, from, copy, ResultCode::NotReady);
     return;
   }
-  const detail::Known before = detail::lookUp(state, copy.Key);
   Record &record = createRun(state, from, submit, now);
   if (!detail::needsAck(shard)) {
     detail::noteEnded(state, record, RecordState::Closed);
