http: server and client on the loop's own sockets

Cause: libmicrohttpd's suspended connections do not report a caller that leaves, and libcurl repeats a request by itself on a kept connection, so neither can carry requests that must run at most once. Ruled out: a new connection per request, which the platform prices. Change: parsers by Boost.Beast without input or output, a server that reads while a request waits, a client that never repeats.

--- /dev/null
+++ b/packages/http/Client.h
@@ -0,0 +1,101 @@
+// HTTP/1.1 client with kept connections on the event loop's own sockets. Use:
+//   auto client = makeClient(loop, timers, {});
+//   startCall(*client, {.Address = "10.0.0.1:80", .Head = {...}}, {.OnEnd = [](const End &e)
+//   {...}});
+// Unlike libcurl it never sends a request a second time by itself, so that a request that must run
+// at most once may use a kept connection. Not thread-safe.
+#ifndef CHERVIL_HTTP_CLIENT_H
+#define CHERVIL_HTTP_CLIENT_H
+
+#include "base/Time.h"
+#include "http/Fields.h"
+#include "net/Loop.h"
+#include "net/TimerService.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace chervil::http {
+
+struct Call {
+  /// IPv4 "ip:port".
+  std::string Address;
+  RequestHead Head;
+  std::string Body;
+  std::chrono::milliseconds ConnectTimeout{1000};
+  /// Bound on the whole call; zero for none.
+  std::chrono::milliseconds Timeout{0};
+  /// False opens a new connection.
+  bool ReuseConnection = true;
+};
+
+enum class Failure : std::uint8_t {
+  None,
+  /// No byte of the request was sent: the server cannot have seen it.
+  NotSent,
+  /// The connection ended or was reset before the response was complete.
+  Broken,
+  /// The bytes are not a response.
+  Malformed,
+  Timeout,
+};
+
+const char *toString(Failure failure);
+
+struct End {
+  http::Failure Failure = Failure::None;
+  /// The request went out on a connection that had carried an earlier one.
+  bool Reused = false;
+};
+
+struct CallEvents {
+  /// Decides whether a response answers this call. One that does not is read and ignored: a server
+  /// may send an additional response late. Absent: every response does.
+  std::function<bool(const ResponseHead &)> Accepts;
+  std::function<void(const ResponseHead &)> OnHead;
+  std::function<void(std::string_view bytes)> OnData;
+  /// Called exactly once unless the call is cancelled; the last event of the call.
+  std::function<void(const End &)> OnEnd;
+};
+
+struct ClientOptions {
+  std::size_t MaxIdlePerAddress = 32;
+  /// An idle connection is closed after this time, or earlier when the server's Keep-Alive field
+  /// says so.
+  std::chrono::milliseconds IdleTimeout{4000};
+};
+
+struct ClientCounters {
+  std::uint64_t Opened = 0;
+  std::uint64_t Reused = 0;
+  std::uint64_t IgnoredResponses = 0;
+};
+
+/// Definition is internal to Client.cpp.
+struct Client;
+struct ClientDeleter {
+  void operator()(Client *client) const;
+};
+using ClientPtr = std::unique_ptr<Client, ClientDeleter>;
+
+/// Loop and timers must outlive the client.
+ClientPtr makeClient(net::Loop &loop, net::TimerService &timers, ClientOptions options);
+
+/// Starts a call and returns its id. Events come later, from the loop.
+std::uint64_t startCall(Client &client, Call call, CallEvents events);
+
+/// Ends a call without further events by closing its connection; ignored for one that has ended.
+void cancelCall(Client &client, std::uint64_t id);
+
+/// Closes idle connections to an address.
+void forgetAddress(Client &client, const std::string &address);
+
+std::size_t openCalls(const Client &client);
+const ClientCounters &counters(const Client &client);
+
+} // namespace chervil::http
+
+#endif
--- /dev/null
+++ b/packages/http/Reader.cpp
@@ -0,0 +1,150 @@
+#include "http/Reader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace chervil::http {
+namespace beast = boost::beast::http;
+using ErrorCode = boost::beast::error_code;
+using BeastView = boost::beast::string_view;
+
+namespace detail {
+namespace {
+
+std::string toText(BeastView view) { return {view.data(), view.size()}; }
+
+/// Collects a message into a Message with Head and Body.
+template <bool IsRequest, typename Message> struct Collector : beast::basic_parser<IsRequest> {
+  Message *Target = nullptr;
+  /// Both a length and chunks: the message could be read in two ways (request smuggling).
+  bool HasLength = false;
+  bool HasEncoding = false;
+
+  void on_request_impl(beast::verb, BeastView method, BeastView target, int,
+                       ErrorCode &ec) override {
+    ec = {};
+    if constexpr (IsRequest) {
+      Target->Head.Method = toText(method);
+      Target->Head.Target = toText(target);
+    }
+  }
+  void on_response_impl(int code, BeastView reason, int, ErrorCode &ec) override {
+    ec = {};
+    if constexpr (!IsRequest) {
+      Target->Head.Status = code;
+      Target->Head.Reason = toText(reason);
+    }
+  }
+  void on_field_impl(beast::field field, BeastView name, BeastView value, ErrorCode &ec) override {
+    ec = {};
+    if (field == beast::field::content_length) {
+      if (HasLength)
+        ec = beast::error::bad_content_length;
+      HasLength = true;
+    }
+    if (field == beast::field::transfer_encoding)
+      HasEncoding = true;
+    if (HasLength && HasEncoding)
+      ec = beast::error::bad_transfer_encoding;
+    Target->Head.Fields.emplace_back(toText(name), toText(value));
+  }
+  void on_header_impl(ErrorCode &ec) override {
+    ec = {};
+    if (HasEncoding && !this->chunked())
+      ec = beast::error::bad_transfer_encoding;
+    Target->State = ReadState::Body;
+  }
+  void on_body_init_impl(boost::optional<std::uint64_t> const &, ErrorCode &ec) override {
+    ec = {};
+  }
+  std::size_t on_body_impl(BeastView body, ErrorCode &ec) override {
+    ec = {};
+    Target->Body.append(body.data(), body.size());
+    return body.size();
+  }
+  void on_chunk_header_impl(std::uint64_t, BeastView, ErrorCode &ec) override { ec = {}; }
+  std::size_t on_chunk_body_impl(std::uint64_t, BeastView body, ErrorCode &ec) override {
+    ec = {};
+    Target->Body.append(body.data(), body.size());
+    return body.size();
+  }
+  void on_finish_impl(ErrorCode &ec) override { ec = {}; }
+};
+
+int statusOf(const ErrorCode &ec) {
+  if (ec == beast::error::header_limit)
+    return 431;
+  if (ec == beast::error::body_limit)
+    return 413;
+  return 400;
+}
+
+/// Feeds the parser until it needs more bytes, is done or fails.
+template <typename Reader> std::size_t feedParser(Reader &reader, std::string_view bytes) {
+  if (reader.State == ReadState::Done || reader.State == ReadState::Failed || bytes.empty())
+    return 0;
+  reader.Parser->Target = &reader;
+  std::size_t used = 0;
+  while (used < bytes.size() && !reader.Parser->is_done()) {
+    ErrorCode ec;
+    const std::size_t n =
+        reader.Parser->put(boost::asio::const_buffer(bytes.data() + used, bytes.size() - used), ec);
+    used += n;
+    if (ec == beast::error::need_more || (!ec && n == 0))
+      break;
+    if (ec) {
+      reader.State = ReadState::Failed;
+      if constexpr (requires { reader.ErrorStatus; })
+        reader.ErrorStatus = statusOf(ec);
+      return used;
+    }
+  }
+  if (reader.Parser->is_done()) {
+    reader.State = ReadState::Done;
+    reader.KeepAlive = reader.Parser->keep_alive();
+  }
+  return used;
+}
+
+} // namespace
+
+struct RequestParser : Collector<true, RequestReader> {};
+struct ResponseParser : Collector<false, ResponseReader> {};
+
+void ParserDeleter::operator()(RequestParser *parser) const { delete parser; }
+void ParserDeleter::operator()(ResponseParser *parser) const { delete parser; }
+
+} // namespace detail
+
+RequestReader::RequestReader(const ReadLimits &limits) : Parser(new detail::RequestParser) {
+  Parser->header_limit(limits.HeaderBytes);
+  Parser->body_limit(limits.BodyBytes);
+  Parser->eager(true);
+}
+
+ResponseReader::ResponseReader() : Parser(new detail::ResponseParser) {
+  Parser->body_limit(boost::none);
+  Parser->eager(true);
+}
+
+std::size_t feed(RequestReader &reader, std::string_view bytes) {
+  return detail::feedParser(reader, bytes);
+}
+
+std::size_t feed(ResponseReader &reader, std::string_view bytes) {
+  const std::size_t used = detail::feedParser(reader, bytes);
+  if (reader.State == ReadState::Body)
+    reader.EndsWithConnection = reader.Parser->need_eof();
+  return used;
+}
+
+void feedEnd(ResponseReader &reader) {
+  if (reader.State == ReadState::Done || reader.State == ReadState::Failed)
+    return;
+  reader.KeepAlive = false;
+  reader.State = reader.State == ReadState::Body && reader.EndsWithConnection ? ReadState::Done
+                                                                              : ReadState::Failed;
+}
+
+} // namespace chervil::http
--- /dev/null
+++ b/packages/http/Server.cpp
@@ -0,0 +1,433 @@
+#include "http/Server.h"
+
+#include "http/Socket.h"
+#include "net/SocketAddress.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <unordered_map>
+#include <vector>
+
+namespace chervil::http {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration SweepPeriod = 250ms;
+// Bytes of later requests that are read while one is served. Reading goes on because only a read
+// shows that the caller left.
+constexpr std::size_t MaxReadAhead = 64 * 1024;
+// Time in which a caller may close its side after the last response, so that unread bytes do not
+// reset the connection before the response is read.
+constexpr Duration LingerTime = 1s;
+
+enum class Phase : std::uint8_t {
+  /// Waiting for the first byte of a request.
+  Idle,
+  Reading,
+  /// A request was handed on and is not completely answered.
+  Serving,
+  /// Everything is written and our side is shut; waits for the caller to close.
+  Lingering,
+};
+
+struct Connection {
+  Server *Owner = nullptr;
+  int Fd = -1;
+  ev_io ReadWatcher{};
+  ev_io WriteWatcher{};
+  Phase State = Phase::Idle;
+  std::uint64_t Id = 0;
+  std::unique_ptr<RequestReader> Reader;
+  std::string In;
+  std::string Out;
+  std::size_t OutAt = 0;
+  /// Since the present phase, or the last byte of a body.
+  TimePoint Since{};
+  TimePoint Started{};
+  bool CloseAfter = false;
+  bool Answered = false;
+  bool Broken = false;
+  bool ReadPaused = false;
+};
+
+} // namespace
+
+struct Server {
+  net::Loop *Loop = nullptr;
+  net::TimerService *Timers = nullptr;
+  ServerOptions Options;
+  ServerEvents Events;
+  int Fd = -1;
+  ev_io Accept{};
+  net::TimerId Sweep = 0;
+  bool Draining = false;
+  std::uint64_t NextId = 1;
+  std::unordered_map<Connection *, std::unique_ptr<Connection>> Connections;
+  std::unordered_map<std::uint64_t, Connection *> Requests;
+};
+
+namespace {
+
+TimePoint now() { return net::readNow().Steady; }
+
+bool hasOutput(const Connection &c) { return c.OutAt < c.Out.size(); }
+
+/// Removes the connection; reports the caller as gone if its request is not answered.
+void drop(Connection &c) {
+  Server &server = *c.Owner;
+  ev_io_stop(server.Loop->Raw.get(), &c.ReadWatcher);
+  ev_io_stop(server.Loop->Raw.get(), &c.WriteWatcher);
+  close(c.Fd);
+  const std::uint64_t id = c.State == Phase::Serving ? c.Id : 0;
+  const auto it = server.Connections.find(&c);
+  const std::unique_ptr<Connection> keep = std::move(it->second);
+  server.Connections.erase(it);
+  if (id != 0) {
+    server.Requests.erase(id);
+    if (server.Events.OnGone)
+      server.Events.OnGone(id);
+  }
+}
+
+void linger(Connection &c) {
+  (void)shutdown(c.Fd, SHUT_WR);
+  c.State = Phase::Lingering;
+  c.Since = now();
+  c.In.clear();
+  ev_io_start(c.Owner->Loop->Raw.get(), &c.ReadWatcher);
+}
+
+/// Goes on after a response has been written completely.
+void finishWritten(Connection &c) {
+  if (c.State != Phase::Serving || !c.Answered || hasOutput(c))
+    return;
+  c.Owner->Requests.erase(c.Id);
+  c.Id = 0;
+  c.Answered = false;
+  if (c.CloseAfter) {
+    linger(c);
+    return;
+  }
+  c.State = Phase::Idle;
+  c.Since = now();
+  c.Reader.reset();
+  if (c.ReadPaused) {
+    c.ReadPaused = false;
+    ev_io_start(c.Owner->Loop->Raw.get(), &c.ReadWatcher);
+  }
+  // A request that arrived meanwhile is read from the loop, not from within the response call.
+  if (!c.In.empty())
+    ev_feed_event(c.Owner->Loop->Raw.get(), &c.ReadWatcher, EV_READ);
+}
+
+/// Writes what the socket takes. Returns false if the connection was dropped.
+bool flush(Connection &c) {
+  const IoState state = writeSome(c.Fd, c.Out, c.OutAt);
+  if (state == IoState::Failed) {
+    drop(c);
+    return false;
+  }
+  if (state == IoState::Ok) {
+    c.Out.clear();
+    c.OutAt = 0;
+    ev_io_stop(c.Owner->Loop->Raw.get(), &c.WriteWatcher);
+  } else {
+    if (c.Out.size() - c.OutAt > c.Owner->Options.MaxPendingBytes) {
+      drop(c);
+      return false;
+    }
+    ev_io_start(c.Owner->Loop->Raw.get(), &c.WriteWatcher);
+  }
+  finishWritten(c);
+  return true;
+}
+
+std::string headText(const Server &server, Connection &c, const Response &response,
+                     std::string_view framing) {
+  if (response.Close || server.Draining)
+    c.CloseAfter = true;
+  std::string out = "HTTP/1.1 " + std::to_string(response.Status) + " " +
+                    std::string(reasonOf(response.Status)) + "\r\n";
+  for (const auto &[name, value] : response.Fields)
+    out.append(name).append(": ").append(value).append("\r\n");
+  out.append(framing);
+  if (c.CloseAfter)
+    out.append("Connection: close\r\n");
+  out.append("\r\n");
+  return out;
+}
+
+void appendChunk(std::string &out, std::string_view bytes) {
+  if (bytes.empty())
+    return;
+  char size[20];
+  const int n = std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+  out.append(size, static_cast<std::size_t>(n)).append(bytes).append("\r\n");
+}
+
+/// Answers a message that cannot be read, and closes.
+void reject(Connection &c, int status) {
+  Server &server = *c.Owner;
+  c.CloseAfter = true;
+  c.State = Phase::Serving;
+  c.Id = server.NextId++;
+  server.Requests.emplace(c.Id, &c);
+  if (server.Events.OnRejected)
+    server.Events.OnRejected(status);
+  respond(server, c.Id, {.Status = status, .Fields = {}, .Body = {}, .Close = true});
+}
+
+void handOn(Connection &c) {
+  Server &server = *c.Owner;
+  c.State = Phase::Serving;
+  c.Id = server.NextId++;
+  c.CloseAfter = !c.Reader->KeepAlive;
+  server.Requests.emplace(c.Id, &c);
+  Request request{c.Id, std::move(c.Reader->Head), std::move(c.Reader->Body), c.Started};
+  c.Reader.reset();
+  server.Events.OnRequest(std::move(request));
+}
+
+void readRequest(Connection &c) {
+  Server &server = *c.Owner;
+  if (c.State == Phase::Idle) {
+    c.State = Phase::Reading;
+    c.Started = c.Since = now();
+    c.Reader = std::make_unique<RequestReader>(server.Options.Limits.Read);
+  }
+  const bool hadHead = c.Reader->State != ReadState::Head;
+  const std::size_t used = feed(*c.Reader, c.In);
+  c.In.erase(0, used);
+  if (c.Reader->State == ReadState::Failed) {
+    reject(c, c.Reader->ErrorStatus);
+    return;
+  }
+  if (c.Reader->State == ReadState::Done) {
+    handOn(c);
+    return;
+  }
+  if (c.Reader->State == ReadState::Body) {
+    c.Since = now();
+    const std::string *expect = find(c.Reader->Head.Fields, "Expect");
+    if (!hadHead && expect != nullptr && sameName(*expect, "100-continue")) {
+      c.Out.append("HTTP/1.1 100 Continue\r\n\r\n");
+      flush(c);
+    }
+  }
+}
+
+/// Handles buffered bytes; a response that is written at once makes room for the next request.
+void readRequests(Connection &c) {
+  Server &server = *c.Owner;
+  while (server.Connections.contains(&c) && !c.In.empty() &&
+         (c.State == Phase::Idle || c.State == Phase::Reading)) {
+    const std::size_t before = c.In.size();
+    const Phase phase = c.State;
+    readRequest(c);
+    if (!server.Connections.contains(&c) || (c.In.size() == before && c.State == phase))
+      return;
+    if (c.State == Phase::Reading)
+      return;
+  }
+}
+
+void onReadable(Connection &c) {
+  Server &server = *c.Owner;
+  const IoState state = readSome(c.Fd, c.In);
+  if (state == IoState::Blocked && c.In.empty())
+    return;
+  if (state == IoState::Ended || state == IoState::Failed) {
+    drop(c);
+    return;
+  }
+  if (c.State == Phase::Lingering) {
+    c.In.clear();
+    return;
+  }
+  if (c.State == Phase::Serving) {
+    if (c.In.size() > MaxReadAhead) {
+      c.ReadPaused = true;
+      ev_io_stop(server.Loop->Raw.get(), &c.ReadWatcher);
+    }
+    return;
+  }
+  readRequests(c);
+}
+
+void onAccept(Server &server) {
+  for (;;) {
+    const int fd = accept4(server.Fd, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
+    if (fd < 0)
+      return;
+    if (server.Connections.size() >= server.Options.MaxConnections) {
+      close(fd);
+      continue;
+    }
+    prepareSocket(fd);
+    auto it = std::make_unique<Connection>();
+    it->Owner = &server;
+    it->Fd = fd;
+    it->Since = now();
+    ev_io_init(
+        &it->ReadWatcher,
+        [](struct ev_loop *, ev_io *w, int) { onReadable(*static_cast<Connection *>(w->data)); },
+        fd, EV_READ);
+    ev_io_init(
+        &it->WriteWatcher,
+        [](struct ev_loop *, ev_io *w, int) {
+          auto &c = *static_cast<Connection *>(w->data);
+          Server &owner = *c.Owner;
+          if (flush(c) && owner.Connections.contains(&c))
+            readRequests(c);
+        },
+        fd, EV_WRITE);
+    it->ReadWatcher.data = it->WriteWatcher.data = it.get();
+    ev_io_start(server.Loop->Raw.get(), &it->ReadWatcher);
+    server.Connections.emplace(it.get(), std::move(it));
+  }
+}
+
+void sweep(Server &server) {
+  const TimePoint at = now();
+  std::vector<Connection *> late;
+  std::vector<Connection *> slow;
+  for (const auto &[c, owner] : server.Connections) {
+    const Duration age = at - c->Since;
+    const bool readsHead = c->State == Phase::Reading && c->Reader->State == ReadState::Head;
+    if (readsHead && at - c->Started > server.Options.Limits.HeaderTimeout)
+      slow.push_back(c);
+    else if ((c->State == Phase::Idle || c->State == Phase::Reading) &&
+             age > server.Options.Limits.IdleTimeout)
+      late.push_back(c);
+    else if (c->State == Phase::Lingering && age > LingerTime)
+      late.push_back(c);
+  }
+  for (Connection *c : late)
+    drop(*c);
+  for (Connection *c : slow)
+    if (server.Connections.contains(c))
+      reject(*c, 408);
+}
+
+Connection *connectionOf(Server &server, std::uint64_t id) {
+  const auto it = server.Requests.find(id);
+  return it == server.Requests.end() || it->second->Answered ? nullptr : it->second;
+}
+
+} // namespace
+
+void ServerDeleter::operator()(Server *server) const {
+  stopListening(*server);
+  net::cancel(*server->Timers, server->Sweep);
+  server->Events.OnGone = nullptr;
+  while (!server->Connections.empty())
+    drop(*server->Connections.begin()->first);
+  delete server;
+}
+
+Result<ServerPtr> startServer(net::Loop &loop, net::TimerService &timers, ServerOptions options,
+                              ServerEvents events) {
+  const auto address = net::parseAddress(options.Address);
+  if (!address)
+    return fail(ResultCode::BadSetting, "not an address: " + options.Address);
+  const Result<int> fd = listenOn(*address);
+  if (!fd)
+    return tl::make_unexpected(fd.error());
+  ServerPtr server(new Server);
+  server->Loop = &loop;
+  server->Timers = &timers;
+  server->Options = std::move(options);
+  server->Events = std::move(events);
+  server->Fd = *fd;
+  ev_io_init(
+      &server->Accept,
+      [](struct ev_loop *, ev_io *w, int) { onAccept(*static_cast<Server *>(w->data)); }, *fd,
+      EV_READ);
+  server->Accept.data = server.get();
+  ev_io_start(loop.Raw.get(), &server->Accept);
+  server->Sweep = net::every(timers, SweepPeriod, [raw = server.get()] { sweep(*raw); });
+  return server;
+}
+
+std::uint16_t port(const Server &server) { return boundPort(server.Fd); }
+
+void setLimits(Server &server, const ServerLimits &limits) { server.Options.Limits = limits; }
+
+void startDraining(Server &server) { server.Draining = true; }
+
+void closeIdle(Server &server) {
+  std::vector<Connection *> idle;
+  for (const auto &[c, owner] : server.Connections)
+    if (c->State == Phase::Idle && c->In.empty())
+      idle.push_back(c);
+  for (Connection *c : idle)
+    linger(*c);
+}
+
+void stopListening(Server &server) {
+  if (server.Fd < 0)
+    return;
+  ev_io_stop(server.Loop->Raw.get(), &server.Accept);
+  close(server.Fd);
+  server.Fd = -1;
+}
+
+std::size_t openRequests(const Server &server) {
+  std::size_t n = 0;
+  for (const auto &[c, owner] : server.Connections)
+    n += c->State == Phase::Reading || c->State == Phase::Serving ? 1 : 0;
+  return n;
+}
+
+std::size_t openConnections(const Server &server) { return server.Connections.size(); }
+
+void respond(Server &server, std::uint64_t id, const Response &response) {
+  Connection *c = connectionOf(server, id);
+  if (c == nullptr)
+    return;
+  c->Out += headText(server, *c, response,
+                     "Content-Length: " + std::to_string(response.Body.size()) + "\r\n");
+  c->Out += response.Body;
+  c->Answered = true;
+  flush(*c);
+}
+
+void beginStream(Server &server, std::uint64_t id, const Response &response) {
+  Connection *c = connectionOf(server, id);
+  if (c == nullptr)
+    return;
+  c->Out += headText(server, *c, response, "Transfer-Encoding: chunked\r\n");
+  appendChunk(c->Out, response.Body);
+  flush(*c);
+}
+
+void writeStream(Server &server, std::uint64_t id, std::string_view bytes) {
+  Connection *c = connectionOf(server, id);
+  if (c == nullptr)
+    return;
+  appendChunk(c->Out, bytes);
+  flush(*c);
+}
+
+void endStream(Server &server, std::uint64_t id) {
+  Connection *c = connectionOf(server, id);
+  if (c == nullptr)
+    return;
+  c->Out += "0\r\n\r\n";
+  c->Answered = true;
+  flush(*c);
+}
+
+void abort(Server &server, std::uint64_t id) {
+  Connection *c = connectionOf(server, id);
+  if (c == nullptr)
+    return;
+  server.Requests.erase(id);
+  c->State = Phase::Idle;
+  drop(*c);
+}
+
+} // namespace chervil::http
--- /dev/null
+++ b/packages/http/ServerTest.cpp
@@ -0,0 +1,141 @@
+#include "http/TestNet.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace chervil;
+using namespace chervil::http;
+using namespace chervil::http::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Fixture : Net {
+  ServerPtr It;
+  std::vector<Request> Requests;
+  std::vector<std::uint64_t> Gone;
+  std::vector<int> Rejected;
+  std::string Received;
+
+  explicit Fixture(ServerOptions options = {}) {
+    options.Address = "127.0.0.1:0";
+    It = std::move(
+        *startServer(EventLoop, Timers, options,
+                     {.OnRequest = [this](Request &&r) { Requests.push_back(std::move(r)); },
+                      .OnGone = [this](std::uint64_t id) { Gone.push_back(id); },
+                      .OnRejected = [this](int status) { Rejected.push_back(status); }}));
+  }
+
+  bool receives(int fd, const std::string &text) {
+    return runUntil([&] {
+      Received += receiveText(fd);
+      return Received.find(text) != std::string::npos;
+    });
+  }
+};
+
+const std::string Get = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(HttpServer)
+
+// Guards against a caller that leaves unseen while its request waits, as libmicrohttpd's suspended
+// connections let it.
+BOOST_AUTO_TEST_CASE(CallerThatLeavesWhileWaitingIsSeen) {
+  Fixture f;
+  const int fd = connectPlain(port(*f.It));
+  sendText(fd, Get);
+  BOOST_TEST(f.runUntil([&] { return f.Requests.size() == 1; }));
+  close(fd);
+  BOOST_TEST(f.runUntil([&] { return f.Gone.size() == 1; }, 500ms));
+  BOOST_TEST(f.Gone[0] == f.Requests[0].Id);
+  respond(*f.It, f.Requests[0].Id, {.Body = "late"});
+}
+
+// Guards against answers in the wrong order, or lost, when requests are sent ahead of answers.
+BOOST_AUTO_TEST_CASE(PipelinedRequestsAreAnsweredInOrder) {
+  Fixture f;
+  const int fd = connectPlain(port(*f.It));
+  sendText(fd, "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  BOOST_TEST(f.runUntil([&] { return f.Requests.size() == 1; }));
+  respond(*f.It, f.Requests[0].Id, {.Body = "first"});
+  BOOST_TEST(f.runUntil([&] { return f.Requests.size() == 2; }));
+  BOOST_TEST(f.Requests[1].Head.Target == "/2");
+  respond(*f.It, f.Requests[1].Id, {.Body = "second"});
+  BOOST_TEST(f.receives(fd, "second"));
+  BOOST_TEST(f.Received.find("first") < f.Received.find("second"));
+  close(fd);
+}
+
+// Guards against a stream that is cut off and looks complete.
+BOOST_AUTO_TEST_CASE(AbortedStreamHasNoEnd) {
+  Fixture f;
+  const int fd = connectPlain(port(*f.It));
+  sendText(fd, Get);
+  BOOST_TEST(f.runUntil([&] { return f.Requests.size() == 1; }));
+  beginStream(*f.It, f.Requests[0].Id, {.Body = "part"});
+  BOOST_TEST(f.receives(fd, "part"));
+  abort(*f.It, f.Requests[0].Id);
+  BOOST_TEST(f.runUntil([&] { return isClosed(fd); }));
+  BOOST_TEST(f.Received.find("0\r\n\r\n") == std::string::npos);
+  BOOST_TEST(f.Gone.empty());
+  close(fd);
+}
+
+// Guards against a message that cannot be read and is handed on, or leaves its connection open.
+BOOST_AUTO_TEST_CASE(BadMessagesAreAnsweredAndClosed) {
+  Fixture f;
+  const int fd = connectPlain(port(*f.It));
+  sendText(fd, "POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\nx" + Get);
+  BOOST_TEST(f.receives(fd, "HTTP/1.1 400"));
+  BOOST_TEST(f.runUntil([&] { return isClosed(fd); }));
+  BOOST_TEST(f.Requests.empty());
+  BOOST_TEST(f.Rejected.size() == 1U);
+  close(fd);
+}
+
+// Guards against connections that hold a place without sending a head.
+BOOST_AUTO_TEST_CASE(SlowHeadsAreRejected) {
+  ServerOptions options;
+  options.Limits.HeaderTimeout = 100ms;
+  Fixture f(options);
+  const int fd = connectPlain(port(*f.It));
+  sendText(fd, "GET / HTT");
+  BOOST_TEST(f.receives(fd, "HTTP/1.1 408"));
+  close(fd);
+}
+
+// Guards against memory that grows with a caller that takes nothing of its answer.
+BOOST_AUTO_TEST_CASE(CallerThatTakesNothingIsCut) {
+  ServerOptions options;
+  options.MaxPendingBytes = 100'000;
+  Fixture f(options);
+  const int fd = connectPlain(port(*f.It));
+  sendText(fd, Get);
+  BOOST_TEST(f.runUntil([&] { return f.Requests.size() == 1; }));
+  beginStream(*f.It, f.Requests[0].Id, {});
+  for (int i = 0; i < 1000 && f.Gone.empty(); ++i)
+    writeStream(*f.It, f.Requests[0].Id, std::string(100'000, 'x'));
+  BOOST_TEST(f.Gone.size() == 1U);
+  close(fd);
+}
+
+// Guards against a planned stop that cuts a request which was being sent.
+BOOST_AUTO_TEST_CASE(DrainingClosesAfterTheAnswer) {
+  Fixture f;
+  const int fd = connectPlain(port(*f.It));
+  const int idle = connectPlain(port(*f.It));
+  sendText(fd, Get);
+  BOOST_TEST(f.runUntil([&] { return f.Requests.size() == 1 && openConnections(*f.It) == 2; }));
+  startDraining(*f.It);
+  closeIdle(*f.It);
+  BOOST_TEST(f.runUntil([&] { return isClosed(idle); }));
+  respond(*f.It, f.Requests[0].Id, {.Body = "whole"});
+  BOOST_TEST(f.receives(fd, "whole"));
+  BOOST_TEST(f.Received.find("Connection: close") != std::string::npos);
+  BOOST_TEST(f.runUntil([&] { return isClosed(fd); }));
+  close(fd);
+  close(idle);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
