store, duty, limits: mirrors of the store, one holder, tokens by claim

Cause: the platform offers one store; duties need one holder although nothing checks the fence; a limit in tokens does not split into shares that hold the largest requests. Change: Mirror follows a prefix through pages, watches and lost history; Lease holds a duty; UsagePosting records counts before it posts them; TokenHome and TokenAccount grant tokens by claim, and a part only to nodes that are cut off. Conclusion: no record and no message per request.

--- /dev/null
+++ b/packages/duty/LeaseTest.cpp
@@ -0,0 +1,173 @@
+#include "duty/Lease.h"
+#include "base/Random.h"
+#include "duty/Holder.h"
+#include "duty/TrueClock.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace chervil;
+using namespace chervil::duty;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// The store's part: one key under a lease.
+struct FakeStore {
+  std::uint64_t Revision = 1;
+  std::uint64_t NextLease = 1;
+  std::map<std::uint64_t, TimePoint> Leases;
+  std::optional<store::Item> Key;
+
+  void expire(TimePoint now) {
+    std::erase_if(Leases, [&](const auto &it) { return it.second <= now; });
+    if (Key && !Leases.contains(Key->Lease)) {
+      Key.reset();
+      ++Revision;
+    }
+  }
+};
+
+struct Node {
+  duty::Lease L;
+  bool Paused = false;
+};
+
+/// Carries out a call; `lost` drops the answer after the call took effect.
+void serve(FakeStore &s, Node &n, const LeaseCall &call, const Now &now, bool lost) {
+  s.expire(now.Steady);
+  bool found = true;
+  std::uint64_t result = 0;
+  switch (call.What) {
+  case LeaseCall::Kind::Create:
+    result = s.NextLease++;
+    s.Leases[result] = now.Steady + n.L.Options.Ttl;
+    if (!lost)
+      onCreated(n.L, result, now);
+    break;
+  case LeaseCall::Kind::Claim:
+    found = s.Leases.contains(call.LeaseId);
+    if (found && !s.Key) {
+      result = ++s.Revision;
+      s.Key = store::Item{"k", n.L.Options.Value, result, result, call.LeaseId};
+    }
+    if (!lost && !found)
+      onLeaseGone(n.L, now);
+    else if (!lost && result != 0)
+      onClaimed(n.L, result, now);
+    else if (!lost)
+      onClaimRefused(n.L, now);
+    break;
+  case LeaseCall::Kind::Renew:
+    found = s.Leases.contains(call.LeaseId);
+    if (found)
+      s.Leases[call.LeaseId] = now.Steady + n.L.Options.Ttl;
+    if (!lost && found)
+      onRenewed(n.L, now);
+    else if (!lost)
+      onLeaseGone(n.L, now);
+    break;
+  case LeaseCall::Kind::End:
+    s.Leases.erase(call.LeaseId);
+    if (!lost)
+      onEnded(n.L);
+    break;
+  }
+  s.expire(now.Steady);
+  if (lost)
+    onFailed(n.L, now);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(DutyLease)
+
+// Guards against two nodes that act at the same time, an older token after a newer one, and a token
+// that two holders share: with pauses, lost answers and stores that do not answer.
+BOOST_AUTO_TEST_CASE(OneHolderActsAtATime) {
+  BOOST_TEST(rc::check([] {
+    Random rng(*rc::gen::arbitrary<std::uint64_t>());
+    const auto draw = [&](int n) { return std::uniform_int_distribution(0, n - 1)(rng); };
+    FakeStore s;
+    std::vector<Node> nodes(3);
+    for (std::size_t i = 0; i < nodes.size(); ++i)
+      nodes[i].L.Options.Value = "n" + std::to_string(i);
+    Now now{TimePoint(1000s), WallTime(0s)};
+    std::uint64_t highest = 0;
+    std::map<std::uint64_t, std::size_t> tokens;
+    for (int step = 0; step < 400; ++step) {
+      now.Steady += 100ms;
+      s.expire(now.Steady);
+      std::size_t holders = 0;
+      for (std::size_t i = 0; i < nodes.size(); ++i) {
+        Node &n = nodes[i];
+        if (draw(60) == 0)
+          n.Paused = !n.Paused;
+        // A paused node would act on what it believes when it goes on: the check counts for it too.
+        if (isHeld(n.L, now)) {
+          ++holders;
+          RC_ASSERT(n.L.Token >= highest);
+          highest = n.L.Token;
+          RC_ASSERT(tokens.emplace(n.L.Token, i).first->second == i);
+        }
+        if (n.Paused)
+          continue;
+        const store::Item *seen = s.Key ? &*s.Key : nullptr;
+        onHolderSeen(n.L, seen, now);
+        const auto call = nextCall(n.L, seen, true, now);
+        if (!call)
+          continue;
+        const int luck = draw(10);
+        if (luck == 0)
+          onFailed(n.L, now);
+        else
+          serve(s, n, *call, now, luck == 1);
+      }
+      RC_ASSERT(holders <= 1U);
+    }
+  }));
+}
+
+// Guards against a duty that stays free after its holder stopped in order.
+BOOST_AUTO_TEST_CASE(ResigningFreesTheDuty) {
+  FakeStore s;
+  Node n;
+  n.L.Options.Value = "n";
+  Now now{TimePoint(1000s), WallTime(0s)};
+  for (int i = 0; i < 3; ++i)
+    if (const auto call = nextCall(n.L, s.Key ? &*s.Key : nullptr, true, now))
+      serve(s, n, *call, now, false);
+  BOOST_TEST(isHeld(n.L, now));
+  n.L.Resigning = true;
+  BOOST_TEST(!isHeld(n.L, now));
+  const auto call = nextCall(n.L, &*s.Key, true, now);
+  BOOST_REQUIRE(call.has_value());
+  serve(s, n, *call, now, false);
+  BOOST_TEST(!s.Key.has_value());
+}
+
+// Guards against a holder that other nodes cannot reach because its value is read wrongly.
+BOOST_AUTO_TEST_CASE(HolderValueIsReadBack) {
+  const auto it = parseHolder(formatHolder({"n-1", 7, "10.0.0.1:9"}));
+  BOOST_REQUIRE(it.has_value());
+  BOOST_TEST(it->Node == "n-1");
+  BOOST_TEST(it->Incarnation == 7U);
+  BOOST_TEST(it->PeerAddress == "10.0.0.1:9");
+  BOOST_TEST(!parseHolder("junk").has_value());
+}
+
+// Guards against windows that jump with the VM's clock, and a clock that never follows a
+// correction.
+BOOST_AUTO_TEST_CASE(ClockJumpsAreNotFollowedAtOnce) {
+  TrueClock clock;
+  const auto at = [](std::chrono::seconds steady, std::chrono::milliseconds wall) {
+    return Now{TimePoint(steady), WallTime(wall)};
+  };
+  BOOST_TEST((trueTime(clock, at(10s, 1000s)) == WallTime(1000s)));
+  BOOST_TEST((trueTime(clock, at(11s, 1003400ms)) == WallTime(1001s)));
+  BOOST_TEST((trueTime(clock, at(16s, 1006100ms)) == WallTime(1006100ms)));
+  BOOST_TEST((trueTime(clock, at(20s, 1000s)) == WallTime(1010100ms)));
+  BOOST_TEST((trueTime(clock, at(60s, 1040s)) == WallTime(1040s)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/packages/duty/TrueClock.cpp
@@ -0,0 +1,24 @@
+#include "duty/TrueClock.h"
+
+namespace chervil::duty {
+
+WallTime trueTime(TrueClock &clock, const Now &now) {
+  const auto steady =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now.Steady.time_since_epoch());
+  const WallTime base = now.Wall - steady;
+  if (!clock.Base)
+    clock.Base = base;
+  const auto difference = std::chrono::abs(base - *clock.Base);
+  if (difference <= JumpSize) {
+    clock.Base = base;
+    clock.JumpedAt.reset();
+  } else if (!clock.JumpedAt) {
+    clock.JumpedAt = now.Steady;
+  } else if (now.Steady - *clock.JumpedAt > JumpTime) {
+    clock.Base = base;
+    clock.JumpedAt.reset();
+  }
+  return *clock.Base + steady;
+}
+
+} // namespace chervil::duty
--- /dev/null
+++ b/packages/duty/UsageBook.h
@@ -0,0 +1,50 @@
+// Requests that began on backend servers, by window of the wall clock and workspace. Use:
+//   began(book, self, "workspace", now.Wall);
+//   merge(book, peer, report);
+//   counts = totals(book, window);
+#ifndef CHERVIL_DUTY_USAGEBOOK_H
+#define CHERVIL_DUTY_USAGEBOOK_H
+
+#include "base/Time.h"
+#include "message/UsageReport.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace chervil::duty {
+
+using Counts = std::map<std::string, std::uint64_t>;
+
+struct UsageBook {
+  std::chrono::milliseconds Window{5000};
+  /// Window -> node (with its start) -> workspace -> requests.
+  std::map<std::uint64_t, std::map<std::string, Counts>> Windows;
+};
+
+/// Windows kept: a report is of use until well after its window was due.
+inline constexpr std::uint64_t KeptWindows = 6;
+
+std::uint64_t windowAt(const UsageBook &book, WallTime at);
+/// End of a window.
+WallTime endOf(const UsageBook &book, std::uint64_t window);
+
+/// Counts a request of this node.
+void began(UsageBook &book, const std::string &self, const std::string &workspace, WallTime at);
+
+/// What this node counted in the kept windows.
+message::UsageReport reportOf(const UsageBook &book, const std::string &self);
+
+/// Takes the larger of each count, so that repeated and reordered reports do no harm.
+void merge(UsageBook &book, const std::string &node, const message::UsageReport &report);
+
+/// Sum over all nodes.
+Counts totals(const UsageBook &book, std::uint64_t window);
+
+/// Forgets windows that are too old at `now`.
+void prune(UsageBook &book, WallTime now);
+
+} // namespace chervil::duty
+
+#endif
--- /dev/null
+++ b/packages/duty/UsageTest.cpp
@@ -0,0 +1,85 @@
+#include "base/Random.h"
+#include "duty/UsagePosting.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace chervil;
+using namespace chervil::duty;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(DutyUsage)
+
+// Guards against counts that grow with repeated or reordered reports.
+BOOST_AUTO_TEST_CASE(RepeatedReportsCountOnce) {
+  UsageBook node;
+  UsageBook holder;
+  began(node, "a", "w", WallTime(101s));
+  const auto first = reportOf(node, "a");
+  began(node, "a", "w", WallTime(102s));
+  const auto second = reportOf(node, "a");
+  for (const auto &it : {second, first, second})
+    merge(holder, "a", it);
+  began(holder, "b", "w", WallTime(103s));
+  BOOST_TEST(totals(holder, 20).at("w") == 3U);
+  BOOST_TEST(totals(holder, 21).empty());
+  prune(holder, WallTime(200s));
+  BOOST_TEST(holder.Windows.empty());
+}
+
+// Guards against two reports of one window with different counts, whoever holds the duty and
+// whatever answers are lost, and against windows that are never reported.
+BOOST_AUTO_TEST_CASE(EachWindowIsPostedWithOneSetOfCounts) {
+  BOOST_TEST(rc::check([] {
+    Random rng(*rc::gen::arbitrary<std::uint64_t>());
+    const auto draw = [&](int n) { return std::uniform_int_distribution(0, n - 1)(rng); };
+    std::optional<UsageRecord> stored;
+    std::uint64_t revision = 0;
+    std::map<std::uint64_t, Counts> accepted;
+    UsagePosting holder;
+    UsageBook book;
+    WallTime now{1000s};
+    takeDuty(holder, book, now);
+    for (int i = 0; i < 400; ++i) {
+      now += 500ms;
+      for (int k = draw(3); k > 0; --k)
+        began(book, "n", "w", now);
+      if (draw(40) == 0) {
+        // Another node takes over, with counts that reached it late.
+        holder = {};
+        takeDuty(holder, book, now);
+      }
+      if (!holder.RecordKnown)
+        onRecordSeen(holder, stored, revision);
+      const auto step = nextStep(holder, book, now);
+      if (!step)
+        continue;
+      const int luck = draw(6);
+      if (luck == 0) {
+        onStepFailed(holder, *step);
+        continue;
+      }
+      if (step->What == UsageStep::Kind::Record) {
+        const bool holds = step->IfRevision == revision;
+        if (holds) {
+          stored = UsageRecord{step->Window, step->Counts};
+          ++revision;
+        }
+        if (luck == 1 || !holds)
+          onStepFailed(holder, *step);
+        else
+          onRecorded(holder, *step, revision);
+      } else {
+        const auto [it, fresh] = accepted.emplace(step->Window, step->Counts);
+        RC_ASSERT(it->second == step->Counts);
+        if (luck == 1)
+          onStepFailed(holder, *step);
+        else
+          onPosted(holder);
+      }
+    }
+    RC_ASSERT(accepted.size() >= 35U);
+  }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/packages/limits/TokenHome.cpp
@@ -0,0 +1,44 @@
+#include "limits/TokenHome.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chervil::limits {
+namespace {
+
+double secondsOf(Duration d) { return std::chrono::duration<double>(d).count(); }
+
+} // namespace
+
+double grantedPart(GrantRole role, const FleetView &view) {
+  const double known = static_cast<double>(std::max<std::size_t>(1, view.Known));
+  if (role == GrantRole::Alone)
+    return view.Known <= 1 ? 1 : FallbackPart / known;
+  if (2 * view.Healthy <= view.Known)
+    return FallbackPart * static_cast<double>(view.Healthy) / known;
+  return role == GrantRole::Home ? 1 : FallbackPart;
+}
+
+message::TokenGrant grant(TokenHome &home, const message::TokenClaim &claim, GrantRole role,
+                          const TokenLimit &limit, const FleetView &view, const Now &now) {
+  const double part = grantedPart(role, view);
+  const double rate = limit.Rate * part;
+  const double burst = std::max(limit.Burst, limit.Rate) * part;
+  const auto [it, fresh] = home.Buckets.try_emplace(
+      {role, claim.Workspace}, TokenBucket{burst * FirstLevelPart, now.Steady});
+  TokenBucket &bucket = it->second;
+  bucket.Level = std::min(burst, bucket.Level + rate * secondsOf(now.Steady - bucket.Updated));
+  bucket.Updated = now.Steady;
+  message::TokenGrant out;
+  out.Workspace = claim.Workspace;
+  out.Seq = claim.Seq;
+  out.Granted = std::clamp(claim.Amount, 0.0, std::max(0.0, bucket.Level));
+  bucket.Level -= out.Granted;
+  const double rest = claim.Amount - out.Granted;
+  if (rest > 0 && rate > 0)
+    out.RestAfter =
+        std::chrono::milliseconds(static_cast<std::int64_t>(std::ceil(1000 * rest / rate)));
+  return out;
+}
+
+} // namespace chervil::limits
--- /dev/null
+++ b/packages/limits/TokenTest.cpp
@@ -0,0 +1,104 @@
+#include "base/Random.h"
+#include "limits/TokenAccount.h"
+#include "limits/TokenHome.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace chervil;
+using namespace chervil::limits;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(TokenLimits)
+
+// Guards against more admitted tokens over all nodes than the limit and one burst, and against
+// refusals while the limit has room: with large and small requests at nodes of unequal load.
+BOOST_AUTO_TEST_CASE(NodesShareOneLimit) {
+  BOOST_TEST(rc::check([] {
+    constexpr std::size_t nodes = 9;
+    const TokenLimit limit{100'000, 100'000};
+    const double load = *rc::gen::element(0.5, 0.9, 3.0);
+    TokenHome home;
+    std::vector<TokenAccount> accounts(nodes);
+    Now now{TimePoint(1000s), WallTime(0s)};
+    Random rng(*rc::gen::arbitrary<std::uint64_t>());
+    std::exponential_distribution<double> gap(load * limit.Rate / 10'000);
+    std::uniform_real_distribution<double> size(1'000, 19'000);
+    std::uniform_int_distribution<std::size_t> node(0, nodes + 3);
+    double admitted = 0;
+    double asked = 0;
+    // A new home holds back, since an earlier one may have granted a burst.
+    const TimePoint warm = now.Steady + 2s;
+    std::uint64_t id = 0;
+    std::uint64_t seq = 0;
+    std::map<std::uint64_t, double> costs;
+    const TimePoint end = now.Steady + 22s;
+    while (now.Steady < end) {
+      now.Steady += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap(rng)));
+      // The first node gets more than its part.
+      TokenAccount &account = accounts[std::min(node(rng), nodes - 1)];
+      const double cost = size(rng);
+      ++id;
+      if (now.Steady >= warm) {
+        asked += cost;
+        costs[id] = cost;
+      }
+      if (take(account, cost, now)) {
+        admitted += costs[id];
+      } else {
+        wait(account, id, cost);
+      }
+      if (const auto amount = amountToClaim(account)) {
+        onClaimed(account, ++seq, now);
+        const auto g = grant(home, {"w", seq, *amount, false}, GrantRole::Home, limit, {9, 9}, now);
+        for (const std::uint64_t it : onGranted(account, seq, g.Granted).Admitted)
+          admitted += costs[it];
+      }
+    }
+    RC_ASSERT(admitted <= 20 * limit.Rate + limit.Burst);
+    RC_ASSERT(admitted >= 0.85 * std::min(asked, 20 * limit.Rate));
+    if (load < 0.6)
+      RC_ASSERT(admitted >= 0.95 * asked);
+  }));
+}
+
+// Guards against a claim that is lost and blocks its requests, and against a grant that is counted
+// for the wrong claim.
+BOOST_AUTO_TEST_CASE(LostClaimsAreRepeated) {
+  TokenAccount account;
+  Now now{TimePoint(1000s), WallTime(0s)};
+  BOOST_TEST(!take(account, 10, now));
+  wait(account, 1, 10);
+  onClaimed(account, 1, now);
+  BOOST_TEST(!amountToClaim(account).has_value());
+  now.Steady += 1s;
+  BOOST_TEST(isClaimLate(account, now));
+  onClaimLost(account);
+  BOOST_TEST(amountToClaim(account).has_value());
+  onClaimed(account, 2, now);
+  BOOST_TEST(onGranted(account, 1, 0).Refused.empty());
+  BOOST_TEST(onGranted(account, 2, 0).Refused.size() == 1U);
+}
+
+// Guards against nodes that are cut off and each grant the whole limit: seen as four times the
+// limit while 3 of 7 nodes were cut off.
+BOOST_AUTO_TEST_CASE(NodesThatAreCutOffGrantAPart) {
+  const auto granted = [](GrantRole role, FleetView view) {
+    TokenHome home;
+    Now now{TimePoint(1000s), WallTime(0s)};
+    double sum = 0;
+    for (int i = 0; i < 80; ++i) {
+      now.Steady += 100ms;
+      sum += grant(home, {"w", 1, 1000, false}, role, {1000, 1000}, view, now).Granted;
+    }
+    return sum;
+  };
+  const double allowed = (8 * 1000 + 1000) * 1.1;
+  BOOST_TEST(granted(GrantRole::Home, {4, 7}) + 3 * granted(GrantRole::Home, {1, 7}) <= allowed);
+  BOOST_TEST(granted(GrantRole::Home, {6, 7}) + granted(GrantRole::Alone, {6, 7}) <= allowed);
+  BOOST_TEST(granted(GrantRole::Home, {4, 7}) >= 8 * 1000);
+  // A fleet of one node is not cut off.
+  BOOST_TEST(granted(GrantRole::Home, {1, 1}) >= 8 * 1000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/packages/message/Message.h
+++ b/packages/message/Message.h
@@ -3,6 +3,8 @@
 #define CHERVIL_MESSAGE_MESSAGE_H
 
 #include "message/Ack.h"
+#include "message/BackendListCopy.h"
+#include "message/BackendListRequest.h"
 #include "message/BackendNews.h"
 #include "message/Chunk.h"
 #include "message/Close.h"
@@ -32,6 +34,9 @@
 #include "message/SubmitReply.h"
 #include "message/TableAck.h"
 #include "message/TableChunk.h"
+#include "message/TokenClaim.h"
+#include "message/TokenGrant.h"
+#include "message/UsageReport.h"
 
 #include <variant>
 
@@ -42,7 +47,8 @@
     std::variant<Ping, PingRequest, Ack, DocUpdate, DocDigest, DocRequest, Submit, SubmitReply,
                  Mark, MarkReply, Progress, Finish, FinishReply, Close, CloseReply, Fetch, Chunk,
                  End, Handover, HandoverReply, StandbyReady, TableChunk, TableAck, DemandReport,
-                 ShareGrant, CrashReport, BackendNews, EpochProbe, EpochConfirm, MemberExchange>;
+                 ShareGrant, CrashReport, BackendNews, EpochProbe, EpochConfirm, MemberExchange,
+                 TokenClaim, TokenGrant, UsageReport, BackendListRequest, BackendListCopy>;
 
 } // namespace chervil::message
 
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -96,6 +96,12 @@
   void operator()(const message::BackendNews &m) const {
     routing::backendNews(Ctx.S.Routes, m, Ctx.Time);
   }
+  // Of request handling without records (package relay), which this node does not run.
+  void operator()(const message::TokenClaim &) const {}
+  void operator()(const message::TokenGrant &) const {}
+  void operator()(const message::UsageReport &) const {}
+  void operator()(const message::BackendListRequest &) const {}
+  void operator()(const message::BackendListCopy &) const {}
 };
 
 void onBackendNotice(Context &ctx, const BackendNotice &notice) {
--- /dev/null
+++ b/packages/store/Mirror.cpp
@@ -0,0 +1,107 @@
+#include "store/Mirror.h"
+
+#include <algorithm>
+
+namespace chervil::store {
+namespace {
+
+void onAnswer(Mirror &mirror, const Now &now) {
+  if (mirror.Failures > 0 || !mirror.LastAnswer)
+    mirror.ContactSince = now.Steady;
+  mirror.LastAnswer = now.Steady;
+  mirror.Failures = 0;
+  mirror.Calling = false;
+}
+
+void startReading(Mirror &mirror) {
+  mirror.Watching = false;
+  mirror.Reading.clear();
+  mirror.AfterKey.clear();
+  mirror.ReadingAsOf = 0;
+}
+
+} // namespace
+
+Mirror makeMirror(MirrorOptions options) {
+  Mirror mirror;
+  mirror.Options = std::move(options);
+  return mirror;
+}
+
+std::optional<MirrorCall> nextCall(Mirror &mirror, const Now &now) {
+  if (mirror.Calling || now.Steady < mirror.NextCall)
+    return std::nullopt;
+  mirror.Calling = true;
+  MirrorCall call;
+  call.Prefix = mirror.Options.Prefix;
+  if (mirror.Watching) {
+    call.What = MirrorCall::Kind::Watch;
+    call.AfterRevision = mirror.Revision;
+    call.Wait = mirror.Options.WatchWait;
+  } else {
+    call.AfterKey = mirror.AfterKey;
+  }
+  return call;
+}
+
+bool onPage(Mirror &mirror, Page page, const Now &now) {
+  onAnswer(mirror, now);
+  // Changes during the reading are reported by a watch that starts at the first page's revision.
+  if (mirror.ReadingAsOf == 0)
+    mirror.ReadingAsOf = page.AsOf;
+  for (Item &it : page.Items) {
+    mirror.AfterKey = it.Key;
+    std::string key = it.Key;
+    mirror.Reading.insert_or_assign(std::move(key), std::move(it));
+  }
+  if (page.HasMore && !page.Items.empty())
+    return false;
+  mirror.Items = std::move(mirror.Reading);
+  mirror.Revision = std::max<std::uint64_t>(1, mirror.ReadingAsOf);
+  startReading(mirror);
+  if (mirror.Options.PollPeriod > Duration{0})
+    mirror.NextCall = now.Steady + mirror.Options.PollPeriod;
+  else
+    mirror.Watching = true;
+  return true;
+}
+
+bool onChanges(Mirror &mirror, const Changes &changes, const Now &now) {
+  onAnswer(mirror, now);
+  for (const Change &it : changes.Events) {
+    // A later page may have shown a newer state than the changes since the first one.
+    const auto held = mirror.Items.find(it.Item.Key);
+    if (held != mirror.Items.end() && held->second.Revision >= it.Item.Revision)
+      continue;
+    if (it.Removed)
+      mirror.Items.erase(it.Item.Key);
+    else
+      mirror.Items.insert_or_assign(it.Item.Key, it.Item);
+  }
+  mirror.Revision = std::max(mirror.Revision, changes.AsOf);
+  return !changes.Events.empty();
+}
+
+void onHistoryLost(Mirror &mirror, const Now &now) {
+  onAnswer(mirror, now);
+  startReading(mirror);
+}
+
+void onInterrupted(Mirror &mirror, const Now &now) {
+  mirror.Calling = false;
+  mirror.NextCall = now.Steady;
+}
+
+void onFailed(Mirror &mirror, const Now &now, Random &rng) {
+  mirror.Calling = false;
+  ++mirror.Failures;
+  const unsigned doublings = std::min(mirror.Failures - 1, 10U);
+  const Duration pause =
+      std::min(mirror.Options.MaxPause, mirror.Options.MinPause * (1 << doublings));
+  std::uniform_real_distribution<double> jitter(0.5, 1.0);
+  mirror.NextCall = now.Steady + std::chrono::duration_cast<Duration>(pause * jitter(rng));
+  if (!mirror.Watching)
+    startReading(mirror);
+}
+
+} // namespace chervil::store
--- a/packages/wire/detail/Fields.h
+++ b/packages/wire/detail/Fields.h
@@ -120,6 +120,24 @@
 template <Is<message::MemberExchange> M> auto fields(M &m) {
   return std::tie(m.Buckets, m.Updates, m.Answer, m.Complete);
 }
+template <Is<message::TokenClaim> M> auto fields(M &m) {
+  return std::tie(m.Workspace, m.Seq, m.Amount, m.Fallback);
+}
+template <Is<message::TokenGrant> M> auto fields(M &m) {
+  return std::tie(m.Workspace, m.Seq, m.Granted, m.RestAfter);
+}
+template <Is<message::UsageCount> M> auto fields(M &m) {
+  return std::tie(m.Window, m.Workspace, m.Requests);
+}
+template <Is<message::UsageReport> M> auto fields(M &m) { return std::tie(m.Counts); }
+template <Is<message::BackendListRequest> M> auto fields(M &m) { return std::tie(m.Revision); }
+template <Is<message::BackendCopy> M> auto fields(M &m) {
+  return std::tie(m.Id, m.Service, m.Address, m.DataCentre, m.Slots, m.Draining, m.Reclaimable,
+                  m.Leaves, m.Born);
+}
+template <Is<message::BackendListCopy> M> auto fields(M &m) {
+  return std::tie(m.Revision, m.Backends);
+}
 
 /// A struct with a list of fields above.
 template <typename T>
