relay: requests that belong to the node that took them

Cause: the replicated record costs two round trips and memory per request; without idempotency keys one send mark in the node is enough. Change: routes, workspaces, choice of a backend server, repeats within the operators' budget, resumed streams, refusals with a true promise, all as pure functions. Measured: relay_test passes, among it 100 random event sequences with exactly one true end for each request.

--- /dev/null
+++ b/packages/relay/Backends.h
@@ -0,0 +1,95 @@
+// The backend servers that a node knows, and the choice among them. Use:
+//   applyList(backends, entries, now);
+//   if (const Backend *it = choose(backends, work, now, rng)) send(it->Entry.Address);
+// Pure; belongs to one node.
+#ifndef CHERVIL_RELAY_BACKENDS_H
+#define CHERVIL_RELAY_BACKENDS_H
+
+#include "base/Random.h"
+#include "base/Time.h"
+#include "relay/BackendEntry.h"
+#include "relay/RequestInfo.h"
+
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chervil::relay {
+
+struct Backend {
+  BackendEntry Entry;
+  /// Gets nothing new: it drains, was reclaimed or is no longer listed.
+  bool Leaving = false;
+  /// No longer listed since this time; kept while requests run on it.
+  std::optional<TimePoint> Missing;
+  /// Requests of this node on it.
+  unsigned Inflight = 0;
+  /// Failed part of the last answers, 0 to 1.
+  double FailureRate = 0;
+  /// Connections or answers that failed one after the other.
+  unsigned FailuresInRow = 0;
+  /// Gets new work only if no other server can, until this time.
+  TimePoint AvoidUntil{};
+  /// Smoothed time to the first byte; 0 until one was seen.
+  double FirstByteMs = 0;
+};
+
+struct Backends {
+  std::string DataCentre;
+  std::map<std::string, Backend> Servers;
+  /// Ids that peers reported as leaving before the list showed it, with the start they concern.
+  std::map<std::string, TimePoint> LeavingNews;
+};
+
+/// What a choice depends on.
+struct Work {
+  std::string Service;
+  /// Prompt of a request to a model engine; empty for plain services.
+  std::span<const PromptPart> Prompt;
+  /// Servers that are not to be chosen.
+  std::span<const std::string> Excluded;
+  /// Requests that this node may have on one server; 0 for no bound.
+  unsigned MaxInflight = 0;
+};
+
+/// Replaces the list. A server that is missing is leaving, and forgotten once nothing runs on it,
+/// unless `keepMissing`: entries lapse while the list's store is away and return after it. Returns
+/// the ids that became leaving, and are to be told to peers.
+std::vector<std::string> applyList(Backends &backends, std::span<const BackendEntry> list,
+                                   bool keepMissing, const Now &now);
+
+/// A peer knows that a server is leaving. Returns true if this node did not.
+bool applyLeaving(Backends &backends, const std::string &id, const Now &now);
+
+/// Null if no server can take the work.
+const Backend *choose(const Backends &backends, const Work &work, const Now &now, Random &rng);
+
+/// True if the service has a server that is not leaving.
+bool hasLive(const Backends &backends, std::string_view service);
+
+Backend *find(Backends &backends, const std::string &id);
+
+void onStarted(Backends &backends, const std::string &id);
+void onEnded(Backends &backends, const std::string &id);
+
+enum class Observation : std::uint8_t {
+  Success,
+  /// An answer of its own that says it failed.
+  ServerError,
+  /// No connection, or one that ended early.
+  Broken,
+  /// It has no room.
+  Full,
+};
+void observe(Backends &backends, const std::string &id, Observation what, const Now &now);
+void observeFirstByte(Backends &backends, const std::string &id, Duration time);
+
+/// Hash that identifies the shared part of a prompt: equal prompts belong to one server's cache.
+std::optional<std::uint64_t> sharedPartOf(std::span<const PromptPart> prompt);
+
+} // namespace chervil::relay
+
+#endif
--- /dev/null
+++ b/packages/relay/ConfigurationTest.cpp
@@ -0,0 +1,47 @@
+#include "relay/Configuration.h"
+#include "relay/RetryShare.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace chervil;
+using namespace chervil::relay;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(RelayConfiguration)
+
+// Guards against the wrong one of two routes whose prefixes begin alike, and other hosts' routes.
+BOOST_AUTO_TEST_CASE(LongestPrefixOfTheHostWins) {
+  Configuration c;
+  for (const auto &[host, prefix] : std::initializer_list<std::pair<const char *, const char *>>{
+           {"a", "/x/"}, {"a", "/x/y/"}, {"b", "/x/y/z/"}}) {
+    Route route;
+    route.Name = std::string(host) + prefix;
+    route.Host = host;
+    route.PathPrefix = prefix;
+    c.Routes.push_back(route);
+  }
+  c = indexed(std::move(c));
+  BOOST_TEST(findRoute(c, "A:80", "/x/y/z/1")->Name == "a/x/y/");
+  BOOST_TEST(findRoute(c, "a", "/x/1")->Name == "a/x/");
+  BOOST_TEST((findRoute(c, "a", "/x") == nullptr));
+  BOOST_TEST((findRoute(c, "c", "/x/1") == nullptr));
+}
+
+// Guards against repeats beyond what operators allow over all nodes together.
+BOOST_AUTO_TEST_CASE(RepeatsStayWithinTheShare) {
+  const Options options{.RetryRatio = 0.2, .RetrySlack = 50};
+  constexpr std::size_t nodes = 9;
+  std::size_t repeats = 0;
+  Now now{TimePoint(1000s), WallTime(0s)};
+  std::vector<RetryShare> shares(nodes);
+  for (int i = 0; i < 100; ++i)
+    for (RetryShare &it : shares) {
+      now.Steady += 10ms;
+      onFirstSend(it, now, options.RetryWindow);
+      repeats += tryRepeat(it, options, nodes, now) ? 1 : 0;
+    }
+  BOOST_TEST(repeats <= 0.2 * 900 + 50);
+  BOOST_TEST(repeats >= 100U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/packages/relay/RelayTest.cpp
@@ -0,0 +1,450 @@
+#include "relay/Relay.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace chervil;
+using namespace chervil::relay;
+using namespace std::chrono_literals;
+
+namespace {
+
+Route route(const char *name, const char *prefix, WorkKind kind, const char *service) {
+  Route out;
+  out.Name = name;
+  out.Host = "h";
+  out.PathPrefix = prefix;
+  out.Kind = kind;
+  out.Timeout = 3000ms;
+  out.Services = {{service, 1}};
+  out.MaxAttempts = 2;
+  return out;
+}
+
+Configuration configuration(std::uint64_t version = 1) {
+  Configuration out;
+  out.Version = version;
+  out.Routes = {route("safe", "/safe/", WorkKind::Safe, "app"),
+                route("unsafe", "/unsafe/", WorkKind::Unsafe, "app"),
+                route("once", "/once/", WorkKind::Stream, "model"),
+                route("resumed", "/resumed/", WorkKind::Stream, "model")};
+  out.Routes[3].Resumable = true;
+  out.Services["app"] = {.Name = "app", .MaxConnections = 100};
+  out.Services["model"] = {.Name = "model", .MaxConnections = 100};
+  Workspace workspace;
+  workspace.Name = "w";
+  workspace.Keys = {"key"};
+  out.Workspaces = {workspace};
+  return indexed(std::move(out));
+}
+
+/// A node's decisions, driven by hand.
+struct Fixture {
+  State S = makeState({.Node = "n", .DataCentre = "a"});
+  Random Rng{1};
+  Now Time{TimePoint(1000s), WallTime(1000s)};
+  Effects Out;
+  std::uint64_t NextId = 1;
+
+  explicit Fixture(unsigned servers = 3) {
+    configure(S, std::make_shared<const Configuration>(configuration()));
+    std::vector<BackendEntry> list;
+    for (unsigned i = 0; i < servers; ++i)
+      for (const char *service : {"app", "model"})
+        list.push_back({.Id = std::string(service) + std::to_string(i),
+                        .Service = service,
+                        .Address = "10.0.0.1:" + std::to_string(list.size() + 1),
+                        .DataCentre = "a",
+                        .Slots = 4});
+    onBackendList(S, list, false, Out, Time);
+    Out.clear();
+  }
+
+  RequestId request(const char *path, const char *key = "key", std::uint64_t content = 7) {
+    RequestInfo info;
+    info.AttemptId = "a" + std::to_string(NextId);
+    info.Host = "h:80";
+    info.Path = path;
+    info.Key = key;
+    info.Deadline = 2000ms;
+    info.ContentHash = content;
+    onRequest(S, NextId, info, Time.Steady, Out, Time, Rng);
+    return NextId++;
+  }
+
+  template <typename T> std::vector<T> all() const {
+    std::vector<T> out;
+    for (const Effect &it : Out)
+      if (const T *e = std::get_if<T>(&it))
+        out.push_back(*e);
+    return out;
+  }
+  template <typename T> T only() {
+    const auto found = all<T>();
+    BOOST_REQUIRE_EQUAL(found.size(), 1U);
+    return found[0];
+  }
+  /// The last call to a server.
+  CallBackend call() {
+    const auto found = all<CallBackend>();
+    BOOST_REQUIRE(!found.empty());
+    return found.back();
+  }
+
+  void head(CallId id, int status, bool genuine = true, bool notRun = false) {
+    onBackendHead(S, id, {.Status = status, .IsGenuine = genuine, .NotRun = notRun}, Out, Time,
+                  Rng);
+  }
+  void bytes(CallId id, std::string_view text) { onBackendBytes(S, id, text, Out, Time); }
+  void end(CallId id, BackendEnd how) { onBackendEnd(S, id, how, Out, Time, Rng); }
+  void answer(CallId id, int status, const char *body = "x") {
+    head(id, status);
+    bytes(id, body);
+    end(id, BackendEnd::Whole);
+  }
+  void wait(Duration time) {
+    Time.Steady += time;
+    tick(S, Out, Time, Rng);
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RelayRequests)
+
+// Guards against an answer that is changed, or passed on before it is complete.
+BOOST_AUTO_TEST_CASE(WholeAnswerIsPassedOn) {
+  Fixture f;
+  f.request("/safe/x");
+  const CallBackend call = f.call();
+  BOOST_TEST(call.Workspace == "w");
+  f.head(call.Call, 200);
+  f.bytes(call.Call, "par");
+  f.bytes(call.Call, "ts");
+  BOOST_TEST(f.all<ForwardAnswer>().empty());
+  f.end(call.Call, BackendEnd::Whole);
+  BOOST_TEST(f.only<ForwardAnswer>().Body == "parts");
+  BOOST_TEST(f.S.Tickets.empty());
+}
+
+// Guards against a request that must not run twice and is sent to a second server after it may have
+// run at the first.
+BOOST_AUTO_TEST_CASE(UnsafeIsNotRepeatedAfterASend) {
+  for (const bool headSeen : {false, true}) {
+    Fixture f;
+    f.request("/unsafe/x");
+    if (headSeen)
+      f.head(f.call().Call, 200);
+    f.end(f.call().Call, BackendEnd::Broken);
+    BOOST_TEST(f.all<CallBackend>().size() == 1U);
+    // 502 promises nothing about whether it ran.
+    BOOST_TEST(f.only<Refuse>().Status == 502);
+  }
+}
+
+// Guards against a lost request where the server says that it did not run it.
+BOOST_AUTO_TEST_CASE(RejectedSendGoesToAnotherServer) {
+  Fixture f;
+  f.request("/unsafe/x");
+  const CallBackend first = f.call();
+  f.head(first.Call, 503, true, true);
+  const CallBackend second = f.call();
+  BOOST_TEST(first.Backend != second.Backend);
+  f.answer(second.Call, 200);
+  BOOST_TEST(f.all<ForwardAnswer>().size() == 1U);
+}
+
+// Guards against a promise that a request has not run when it may have.
+BOOST_AUTO_TEST_CASE(PromisesAreTrue) {
+  Fixture f(1);
+  f.request("/unsafe/x");
+  f.head(f.call().Call, 503, true, true);
+  BOOST_TEST(f.only<Refuse>().Status == 503);
+
+  Fixture g(1);
+  g.request("/unsafe/x");
+  // Without the server's word its 503 is not a promise that may be passed on.
+  g.answer(g.call().Call, 503);
+  BOOST_TEST(g.only<Refuse>().Status == 502);
+}
+
+// Guards against an answer without the server's mark that passes for the server's.
+BOOST_AUTO_TEST_CASE(AnswerWithoutMarkIsNotPassedOn) {
+  Fixture f(1);
+  f.request("/unsafe/x");
+  f.head(f.call().Call, 200, false);
+  f.bytes(f.call().Call, "foreign");
+  f.end(f.call().Call, BackendEnd::Whole);
+  BOOST_TEST(f.all<ForwardAnswer>().empty());
+  BOOST_TEST(f.only<Refuse>().Status == 502);
+}
+
+// Guards against a failure of one server that reaches the caller of a repeatable request, and
+// against more servers than the route allows.
+BOOST_AUTO_TEST_CASE(SafeIsRepeatedWithinTheRoutesBound) {
+  Fixture f(4);
+  f.request("/safe/x");
+  f.answer(f.call().Call, 500);
+  f.answer(f.call().Call, 500);
+  BOOST_TEST(f.all<CallBackend>().size() == 2U);
+  BOOST_TEST(f.all<ForwardAnswer>().size() == 1U);
+}
+
+// Guards against a stream that repeats or misses events when another server continues it.
+BOOST_AUTO_TEST_CASE(ResumedStreamIsWhole) {
+  Fixture f;
+  f.request("/resumed/x");
+  const CallBackend first = f.call();
+  f.head(first.Call, 200);
+  f.bytes(first.Call, "id: 1\ndata: a\n\nid: 2\nda");
+  f.end(first.Call, BackendEnd::Broken);
+  const CallBackend second = f.call();
+  BOOST_TEST(second.ResumeAfter == "1");
+  f.head(second.Call, 200);
+  f.bytes(second.Call, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  f.end(second.Call, BackendEnd::Whole);
+  std::string all;
+  for (const StreamBytes &it : f.all<StreamBytes>())
+    all += it.Bytes;
+  BOOST_TEST(all == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  BOOST_TEST(f.all<BeginStream>().size() == 1U);
+  BOOST_TEST(f.all<EndStream>().size() == 1U);
+}
+
+// Guards against a stream that may run once and is continued, or ends as if it were complete.
+BOOST_AUTO_TEST_CASE(BrokenStreamIsAborted) {
+  Fixture f;
+  f.request("/once/x");
+  f.head(f.call().Call, 200);
+  f.bytes(f.call().Call, "id: 1\ndata: a\n\n");
+  f.end(f.call().Call, BackendEnd::Broken);
+  BOOST_TEST(f.all<CallBackend>().size() == 1U);
+  BOOST_TEST(f.all<AbortStream>().size() == 1U);
+  BOOST_TEST(f.all<EndStream>().empty());
+}
+
+// Guards against servers that work for a caller that has left.
+BOOST_AUTO_TEST_CASE(CallerThatLeavesEndsTheCall) {
+  Fixture f;
+  const RequestId id = f.request("/once/x");
+  onCallerGone(f.S, id, f.Out, f.Time);
+  BOOST_TEST(f.only<CancelBackend>().Call == f.call().Call);
+  BOOST_TEST(f.S.Tickets.empty());
+  BOOST_TEST(f.S.Calls.empty());
+}
+
+// Guards against a request without a final answer at its timeout.
+BOOST_AUTO_TEST_CASE(TimeoutIsAnswered) {
+  Fixture f;
+  f.request("/unsafe/x");
+  f.wait(1900ms);
+  BOOST_TEST(f.all<Refuse>().empty());
+  f.wait(150ms);
+  BOOST_TEST(f.only<Refuse>().Status == 504);
+  BOOST_TEST(f.all<CancelBackend>().size() == 1U);
+}
+
+// Guards against callers without a key or a route that are served, and against a 404 or 401 from a
+// node that knows no configuration yet.
+BOOST_AUTO_TEST_CASE(UnknownRoutesAndKeysAreRefused) {
+  Fixture f;
+  f.request("/nowhere/x");
+  f.request("/safe/x", "other");
+  const auto refused = f.all<Refuse>();
+  BOOST_REQUIRE(refused.size() == 2U);
+  BOOST_TEST(refused[0].Status == 404);
+  BOOST_TEST(refused[1].Status == 401);
+  f.S.Config.reset();
+  f.Out.clear();
+  f.request("/nowhere/x");
+  BOOST_TEST(f.only<Refuse>().Status == 503);
+}
+
+// Guards against requests that are taken shortly before the process ends and are cut: seen as
+// answers cut 7.5 s after SIGTERM of requests that came 3.6 s after it.
+BOOST_AUTO_TEST_CASE(ClosedNodeTakesNothing) {
+  Fixture f;
+  f.request("/once/x");
+  f.S.IsClosed = true;
+  f.request("/once/x");
+  BOOST_TEST(f.all<CallBackend>().size() == 1U);
+  BOOST_TEST(f.only<Refuse>().Status == 503);
+}
+
+// Guards against a configuration that reverts.
+BOOST_AUTO_TEST_CASE(OlderConfigurationIsIgnored) {
+  Fixture f;
+  BOOST_TEST(configure(f.S, std::make_shared<const Configuration>(configuration(5))));
+  BOOST_TEST(!configure(f.S, std::make_shared<const Configuration>(configuration(4))));
+  BOOST_TEST(f.S.Config->Version == 5U);
+}
+
+// Guards against new work for a server that is leaving, whoever said so.
+BOOST_AUTO_TEST_CASE(LeavingServerGetsNothingNew) {
+  Fixture f(2);
+  onBackendNews(f.S, {.Backend = "app0", .Seq = 0, .SlowFactor = 1, .Leaving = true}, f.Out,
+                f.Time);
+  BOOST_TEST(f.all<Spread>().size() == 1U);
+  for (int i = 0; i < 20; ++i)
+    f.request("/safe/x");
+  for (const CallBackend &it : f.all<CallBackend>())
+    BOOST_TEST(it.Backend == "app1");
+}
+
+// Guards against a request that crashes one server after another.
+BOOST_AUTO_TEST_CASE(CrashingContentIsRefusedAfterThreeDeaths) {
+  Fixture f(8);
+  for (int i = 0; i < 3; ++i) {
+    f.request("/unsafe/x");
+    f.end(f.call().Call, BackendEnd::Broken);
+  }
+  f.Out.clear();
+  f.request("/unsafe/x");
+  BOOST_TEST(f.all<CallBackend>().empty());
+  BOOST_TEST(f.only<Refuse>().Status == 503);
+  f.Out.clear();
+  f.request("/unsafe/x", "key", 8);
+  BOOST_TEST(f.all<CallBackend>().size() == 1U);
+}
+
+// Guards against any sequence of events that answers a request twice or never, runs one that may
+// run once a second time, or promises "not run" for one that was sent and not rejected.
+BOOST_AUTO_TEST_CASE(EveryRequestHasOneTrueEnd) {
+  BOOST_TEST(rc::check([] {
+    Fixture f(*rc::gen::inRange(1U, 5U));
+    std::map<RequestId, std::string> paths;
+    std::map<RequestId, int> ends;
+    std::map<RequestId, std::size_t> mayHaveRun;
+    std::set<RequestId> gone;
+    std::map<CallId, RequestId> open;
+    const auto settle = [&] {
+      for (const Effect &it : f.Out) {
+        if (const auto *e = std::get_if<CallBackend>(&it)) {
+          RC_ASSERT(!(mayHaveRun[e->Request] > 0 &&
+                      (paths[e->Request] == "/unsafe/x" || paths[e->Request] == "/once/x")));
+          open[e->Call] = e->Request;
+        } else if (const auto *c = std::get_if<CancelBackend>(&it)) {
+          if (const auto o = open.find(c->Call); o != open.end()) {
+            ++mayHaveRun[o->second];
+            open.erase(o);
+          }
+        } else if (const auto *r = std::get_if<Refuse>(&it)) {
+          ++ends[r->Request];
+          if (r->Status == 503 || r->Status == 429)
+            RC_ASSERT(mayHaveRun[r->Request] == 0U);
+        } else if (const auto *a = std::get_if<ForwardAnswer>(&it)) {
+          ++ends[a->Request];
+        } else if (const auto *s = std::get_if<EndStream>(&it)) {
+          ++ends[s->Request];
+        } else if (const auto *x = std::get_if<AbortStream>(&it)) {
+          ++ends[x->Request];
+        }
+      }
+      f.Out.clear();
+    };
+    const int steps = *rc::gen::inRange(1, 60);
+    for (int i = 0; i < steps; ++i) {
+      const int what = *rc::gen::inRange(0, 8);
+      if (what < 2 || open.empty()) {
+        const char *path = *rc::gen::element("/safe/x", "/unsafe/x", "/once/x", "/resumed/x");
+        paths[f.NextId] = path;
+        // Contents differ, so that no request is taken for a crashing one.
+        f.request(path, "key", f.NextId + 100);
+        settle();
+        continue;
+      }
+      auto it = open.begin();
+      std::advance(it, *rc::gen::inRange<std::size_t>(0, open.size()));
+      const CallId call = it->first;
+      const RequestId id = it->second;
+      if (what == 2) {
+        f.head(call, 200);
+        f.bytes(call, "id: 1\ndata: x\n\n");
+      } else if (what == 3) {
+        open.erase(it);
+        ++mayHaveRun[id];
+        f.answer(call, *rc::gen::element(200, 500, 503));
+      } else if (what == 4) {
+        open.erase(it);
+        ++mayHaveRun[id];
+        f.end(call, BackendEnd::Broken);
+      } else if (what == 5) {
+        // Nothing was sent, so nothing was answered either.
+        if (f.S.Tickets.at(id).Status == 0) {
+          open.erase(it);
+          f.end(call, BackendEnd::NotSent);
+        }
+      } else if (what == 6) {
+        if (f.S.Tickets.at(id).Status == 0) {
+          open.erase(it);
+          f.head(call, 503, true, true);
+        }
+      } else {
+        if (gone.insert(id).second)
+          onCallerGone(f.S, id, f.Out, f.Time);
+      }
+      settle();
+    }
+    f.wait(10s);
+    settle();
+    for (const auto &[id, path] : paths)
+      RC_ASSERT(ends[id] == (gone.contains(id) ? 0 : 1));
+    RC_ASSERT(f.S.Tickets.empty());
+    RC_ASSERT(f.S.Calls.empty());
+    for (const auto &[id, server] : f.S.Servers.Servers)
+      RC_ASSERT(server.Inflight == 0U);
+  }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(RelayLimits)
+
+namespace {
+
+struct Limited : Fixture {
+  Limited() {
+    Configuration limited = configuration(2);
+    limited.Workspaces[0].Rate = 100;
+    limited.Workspaces[0].Burst = 100;
+    configure(S, std::make_shared<const Configuration>(indexed(std::move(limited))));
+  }
+};
+
+} // namespace
+
+// Guards against requests beyond a limit, and against a refusal of those that were granted.
+BOOST_AUTO_TEST_CASE(GrantDecidesWhoWaits) {
+  Limited f;
+  f.request("/safe/x");
+  f.request("/safe/x");
+  const ClaimTokens claim = f.only<ClaimTokens>();
+  BOOST_TEST(f.all<CallBackend>().empty());
+  onTokenGrant(f.S, {claim.Workspace, claim.Seq, 1, 500ms}, f.Out, f.Time, f.Rng);
+  BOOST_TEST(f.all<CallBackend>().size() == 1U);
+  // The second came after the claim and waits for the next one.
+  const auto claims = f.all<ClaimTokens>();
+  BOOST_REQUIRE(claims.size() == 2U);
+  onTokenGrant(f.S, {claim.Workspace, claims[1].Seq, 0, 500ms}, f.Out, f.Time, f.Rng);
+  const Refuse refused = f.only<Refuse>();
+  BOOST_TEST(refused.Status == 429);
+  BOOST_TEST((refused.RetryAfter == 500ms));
+}
+
+// Guards against tokens that are lost with requests that did not run.
+BOOST_AUTO_TEST_CASE(TokensOfRejectedRequestsComeBack) {
+  Limited f;
+  f.request("/unsafe/x");
+  const ClaimTokens claim = f.only<ClaimTokens>();
+  onTokenGrant(f.S, {claim.Workspace, claim.Seq, 1, 0ms}, f.Out, f.Time, f.Rng);
+  const double before = f.S.Accounts["w"].Balance;
+  for (int i = 0; i < 3; ++i)
+    if (!f.S.Tickets.empty())
+      f.head(f.call().Call, 503, true, true);
+  BOOST_TEST(f.all<Refuse>().size() == 1U);
+  BOOST_TEST(f.S.Accounts["w"].Balance == before + 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/packages/relay/RetryShare.cpp
@@ -0,0 +1,37 @@
+#include "relay/RetryShare.h"
+
+#include <algorithm>
+
+namespace chervil::relay {
+namespace {
+
+// Part of the allowance that is used: nodes count their windows at different moments, and a node
+// that restarts forgets its repeats.
+constexpr double UsedPart = 0.8;
+
+void forgetOld(std::deque<TimePoint> &times, TimePoint before) {
+  while (!times.empty() && times.front() < before)
+    times.pop_front();
+}
+
+} // namespace
+
+void onFirstSend(RetryShare &share, const Now &now, std::chrono::milliseconds window) {
+  forgetOld(share.FirstSends, now.Steady - window);
+  share.FirstSends.push_back(now.Steady);
+}
+
+bool tryRepeat(RetryShare &share, const Options &options, std::size_t liveNodes, const Now &now) {
+  forgetOld(share.FirstSends, now.Steady - options.RetryWindow);
+  forgetOld(share.Repeats, now.Steady - options.RetryWindow);
+  const double nodes = static_cast<double>(std::max<std::size_t>(1, liveNodes));
+  const double allowed =
+      UsedPart * (options.RetryRatio * static_cast<double>(share.FirstSends.size()) +
+                  options.RetrySlack / nodes);
+  if (static_cast<double>(share.Repeats.size()) + 1 > allowed)
+    return false;
+  share.Repeats.push_back(now.Steady);
+  return true;
+}
+
+} // namespace chervil::relay
