limits: claim an exhausted limit at a pace

Change: a pause of 40 ms after a short grant; waiting requests are claimed by the tick. Orders of reclaimable servers are wired as well. Conclusion: the new test counts claims per second.

--- a/packages/daemon/edge/Edge.h
+++ b/packages/daemon/edge/Edge.h
@@ -15,6 +15,7 @@
 #include "duty/TrueClock.h"
 #include "duty/UsageBook.h"
 #include "duty/UsagePosting.h"
+#include "fleet/ZoneOrders.h"
 #include "http/Client.h"
 #include "http/Server.h"
 #include "limits/TokenHome.h"
@@ -79,6 +80,9 @@
   duty::UsageBook Usage;
   duty::UsagePosting Posting;
   bool ActsAsHolder = false;
+  /// Orders of backend servers by service, while this node holds the duty.
+  std::map<std::string, fleet::ZoneOrders> Orders;
+  TimePoint NextOrders{};
   /// Since when no node has held the duty.
   std::optional<TimePoint> DutyFreeSince;
   TimePoint NextUsageReport{};
--- a/packages/daemon/edge/EdgeDuty.cpp
+++ b/packages/daemon/edge/EdgeDuty.cpp
@@ -17,6 +17,7 @@
 // Nodes try for a free duty one after the other, by name, so that few calls collide.
 constexpr Duration StandDelay = 150ms;
 constexpr Duration ReportPeriod = 500ms;
+constexpr Duration OrderPeriod = 500ms;
 
 using OnResult = std::function<void(int status, const std::string &body)>;
 
@@ -210,6 +211,63 @@
     record(edge, *step);
 }
 
+fleet::ZoneTerms termsOf(const relay::ScalingTerms &scaling) {
+  return {scaling.Min, scaling.Max, scaling.ReclaimablePrice, scaling.BootTime, scaling.Prices};
+}
+
+std::map<std::string, fleet::ZoneCount> serversOf(const Edge &edge, const std::string &service) {
+  std::map<std::string, fleet::ZoneCount> out;
+  for (const auto &[id, it] : edge.Relay.Servers.Servers) {
+    if (it.Leaving || it.Entry.Service != service)
+      continue;
+    fleet::ZoneCount &count = out[it.Entry.DataCentre];
+    ++(it.Entry.Reclaimable ? count.Reclaimable : count.OnDemand);
+  }
+  return out;
+}
+
+fleet::OrderResult resultOf(int status) {
+  if (status == 200)
+    return fleet::OrderResult::Accepted;
+  return status == 0 ? fleet::OrderResult::Unknown : fleet::OrderResult::Refused;
+}
+
+void order(Edge &edge, const std::string &service, const fleet::ZoneOrder &what) {
+  const adapter::ServerOrder order{service, what.DataCentre, what.Reclaimable, what.Count};
+  call(edge, adapter::orderCall(edge.Settings.Edge.DutyAddress, holderOf(edge), order),
+       [&edge, service, what](int status, const std::string &) {
+         logLine(edge, "duty", "servers_ordered",
+                 {{"service", service},
+                  {"data_centre", what.DataCentre},
+                  {"reclaimable", what.Reclaimable ? "true" : "false"},
+                  {"count", std::to_string(what.Count)},
+                  {"token", std::to_string(edge.Lease.Token)},
+                  {"status", std::to_string(status)}});
+         fleet::onOrderResult(edge.Orders[service], what, resultOf(status), net::readNow());
+       });
+}
+
+/// Orders backend servers while this node holds the duty and knows which there are.
+void tickOrders(Edge &edge) {
+  const Now now = net::readNow();
+  if (!duty::isHeld(edge.Lease, now)) {
+    edge.Orders.clear();
+    return;
+  }
+  if (now.Steady < edge.NextOrders || edge.Relay.Config == nullptr ||
+      !inContact(edge.ServerItems, now) || !store::isComplete(edge.ServerItems))
+    return;
+  edge.NextOrders = now.Steady + OrderPeriod;
+  for (const auto &[name, service] : edge.Relay.Config->Services) {
+    if (!service.Scaling)
+      continue;
+    const auto orders = fleet::plan(edge.Orders[name], termsOf(*service.Scaling),
+                                    serversOf(edge, name), now);
+    for (const fleet::ZoneOrder &it : orders)
+      order(edge, name, it);
+  }
+}
+
 } // namespace
 
 const store::Item *holderItem(const Edge &edge) {
@@ -223,6 +281,7 @@
   const Now now = net::readNow();
   tickLease(edge);
   tickUsage(edge);
+  tickOrders(edge);
   if (now.Steady >= edge.NextUsageReport) {
     edge.NextUsageReport = now.Steady + ReportPeriod;
     duty::prune(edge.Usage, duty::trueTime(edge.Clock, now));
--- /dev/null
+++ b/packages/fleet/ZoneOrdersTest.cpp
@@ -0,0 +1,124 @@
+#include "fleet/ZoneOrders.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+using namespace chervil;
+using namespace chervil::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A platform that boots servers, reclaims data centres and refuses for a while.
+struct Platform {
+  ZoneTerms Terms{.Min = 1,
+                  .Max = 6,
+                  .ReclaimablePrice = 0.15,
+                  .BootTime = 4000ms,
+                  .Prices = {{"a", 1.0}, {"b", 0.8}, {"c", 1.25}, {"d", 0.9}}};
+  ZoneOrders Orders;
+  Now Time{TimePoint(1000s), WallTime(0s)};
+  std::map<std::pair<std::string, bool>, std::multiset<TimePoint>> Servers;
+  std::map<std::string, TimePoint> DryUntil;
+  double Cost = 0;
+  unsigned Calls = 0;
+
+  Platform() {
+    for (const auto &[zone, price] : Terms.Prices)
+      for (int i = 0; i < 3; ++i)
+        Servers[{zone, false}].insert(Time.Steady);
+  }
+
+  std::map<std::string, ZoneCount> counts() {
+    std::map<std::string, ZoneCount> out;
+    for (const auto &[kind, servers] : Servers)
+      for (const TimePoint ready : servers)
+        if (ready <= Time.Steady)
+          ++(kind.second ? out[kind.first].Reclaimable : out[kind.first].OnDemand);
+    return out;
+  }
+
+  unsigned serving() {
+    unsigned n = 0;
+    for (const auto &[zone, it] : counts())
+      n += it.Reclaimable + it.OnDemand;
+    return n;
+  }
+
+  void reclaim(const std::string &zone) {
+    Servers[{zone, true}].clear();
+    DryUntil[zone] = Time.Steady + 14s;
+  }
+
+  void step() {
+    Time.Steady += 500ms;
+    for (const auto &[kind, servers] : Servers)
+      Cost += 0.5 * static_cast<double>(servers.size()) * Terms.Prices.at(kind.first) *
+              (kind.second ? Terms.ReclaimablePrice : 1);
+    for (const ZoneOrder &it : plan(Orders, Terms, counts(), Time)) {
+      ++Calls;
+      auto &servers = Servers[{it.DataCentre, it.Reclaimable}];
+      if (it.Reclaimable && it.Count > servers.size() && DryUntil[it.DataCentre] > Time.Steady) {
+        onOrderResult(Orders, it, OrderResult::Refused, Time);
+        continue;
+      }
+      while (servers.size() > it.Count)
+        servers.erase(std::prev(servers.end()));
+      while (servers.size() < it.Count)
+        servers.insert(Time.Steady + Terms.BootTime);
+      onOrderResult(Orders, it, OrderResult::Accepted, Time);
+    }
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(FleetZoneOrders)
+
+// Guards against a fleet that is dearer than needed, or too small while data centres are reclaimed
+// one after the other: four reclaims, two of them at the same time.
+BOOST_AUTO_TEST_CASE(ReclaimsLeaveEnoughServers) {
+  Platform p;
+  unsigned least = 100;
+  for (int i = 0; i < 120; ++i) {
+    if (i == 24)
+      p.reclaim("d");
+    if (i == 38 || i == 40)
+      p.reclaim(i == 38 ? "a" : "b");
+    if (i == 52)
+      p.reclaim("c");
+    p.step();
+    least = std::min(least, p.serving());
+  }
+  BOOST_TEST(least >= 4U);
+  const double baseline = 60 * 3 * (1.0 + 0.8 + 1.25 + 0.9);
+  BOOST_TEST(p.Cost < 0.5 * baseline);
+  BOOST_TEST(p.Calls < 80U);
+}
+
+// Guards against servers that are given up before their replacements serve.
+BOOST_AUTO_TEST_CASE(OnDemandServersStayUntilReplaced) {
+  Platform p;
+  for (int i = 0; i < 7; ++i) {
+    p.step();
+    BOOST_TEST(p.serving() >= 8U);
+  }
+  for (int i = 0; i < 20; ++i)
+    p.step();
+  for (const auto &[zone, it] : p.counts()) {
+    BOOST_TEST(it.OnDemand == 0U);
+    BOOST_TEST(it.Reclaimable == reclaimableTarget(p.Terms));
+  }
+}
+
+// Guards against orders beyond the bounds, and orders where there is no cheaper kind.
+BOOST_AUTO_TEST_CASE(OrdersStayWithinTheBounds) {
+  Platform p;
+  for (const ZoneOrder &it : plan(p.Orders, p.Terms, {}, p.Time))
+    BOOST_TEST(it.Count <= p.Terms.Max);
+  ZoneOrders none;
+  p.Terms.ReclaimablePrice = 0;
+  BOOST_TEST(plan(none, p.Terms, {}, p.Time).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/packages/limits/TokenAccount.cpp
+++ b/packages/limits/TokenAccount.cpp
@@ -44,8 +44,8 @@
 
 void giveBack(TokenAccount &account, double cost) { account.Balance += cost; }
 
-std::optional<double> amountToClaim(const TokenAccount &account) {
-  if (account.Seq != 0)
+std::optional<double> amountToClaim(const TokenAccount &account, const Now &now) {
+  if (account.Seq != 0 || now.Steady < account.NextClaim)
     return std::nullopt;
   const double ahead = account.Demand * secondsOf(ClaimAhead);
   const double need = waitingCost(account);
@@ -56,8 +56,9 @@
   return amount > 1 ? std::optional(amount) : std::nullopt;
 }
 
-void onClaimed(TokenAccount &account, std::uint64_t seq, const Now &now) {
+void onClaimed(TokenAccount &account, std::uint64_t seq, double amount, const Now &now) {
   account.Seq = seq;
+  account.ClaimedAmount = amount;
   account.ClaimedAt = now.Steady;
   for (WaitingCost &it : account.Waiting)
     it.Claimed = true;
@@ -67,12 +68,14 @@
   return account.Seq != 0 && now.Steady - account.ClaimedAt > ClaimTimeout;
 }
 
-Admissions onGranted(TokenAccount &account, std::uint64_t seq, double granted) {
+Admissions onGranted(TokenAccount &account, std::uint64_t seq, double granted, const Now &now) {
   Admissions out;
   account.Balance += granted;
   if (seq != account.Seq)
     return out;
   account.Seq = 0;
+  if (granted < account.ClaimedAmount)
+    account.NextClaim = now.Steady + ShortGrantPause;
   const std::deque<WaitingCost> waiting = std::move(account.Waiting);
   account.Waiting.clear();
   for (const WaitingCost &it : waiting) {
--- a/packages/limits/TokenAccount.h
+++ b/packages/limits/TokenAccount.h
@@ -27,7 +27,10 @@
   std::deque<WaitingCost> Waiting;
   /// The claim that is not answered; 0 if there is none.
   std::uint64_t Seq = 0;
+  double ClaimedAmount = 0;
   TimePoint ClaimedAt{};
+  /// No claim before this time, because the last one was not granted whole.
+  TimePoint NextClaim{};
   /// Smoothed tokens per second that requests of this node need.
   double Demand = 0;
   TimePoint Updated{};
@@ -35,6 +38,9 @@
 
 /// Time for which demand is claimed ahead, so that most requests wait for no grant.
 inline constexpr Duration ClaimAhead = std::chrono::milliseconds(400);
+/// Pause after a claim that was not granted whole. Without it, a node and the home of an exhausted
+/// limit exchanged claims as fast as they could, and took the processor from requests.
+inline constexpr Duration ShortGrantPause = std::chrono::milliseconds(40);
 /// A claim that is not answered in this time is taken as lost. Several round trips between regions.
 inline constexpr Duration ClaimTimeout = std::chrono::milliseconds(150);
 
@@ -50,10 +56,11 @@
 /// Returns a cost that was taken for a request that did not run.
 void giveBack(TokenAccount &account, double cost);
 
-/// Amount to claim now; absent while a claim is under way or nothing is needed.
-std::optional<double> amountToClaim(const TokenAccount &account);
+/// Amount to claim now; absent while a claim is under way or may not follow yet, and when nothing is
+/// needed.
+std::optional<double> amountToClaim(const TokenAccount &account, const Now &now);
 
-void onClaimed(TokenAccount &account, std::uint64_t seq, const Now &now);
+void onClaimed(TokenAccount &account, std::uint64_t seq, double amount, const Now &now);
 bool isClaimLate(const TokenAccount &account, const Now &now);
 
 struct Admissions {
@@ -64,7 +71,7 @@
 /// Adds a grant and decides about the requests that waited: those that the balance does not cover
 /// are refused, or wait for the next claim if they came after this one. A grant of an older claim
 /// only adds to the balance.
-Admissions onGranted(TokenAccount &account, std::uint64_t seq, double granted);
+Admissions onGranted(TokenAccount &account, std::uint64_t seq, double granted, const Now &now);
 
 /// Ends a lost claim; the requests go on waiting.
 void onClaimLost(TokenAccount &account);
--- a/packages/limits/TokenTest.cpp
+++ b/packages/limits/TokenTest.cpp
@@ -48,10 +48,10 @@
       } else {
         wait(account, id, cost);
       }
-      if (const auto amount = amountToClaim(account)) {
-        onClaimed(account, ++seq, now);
+      if (const auto amount = amountToClaim(account, now)) {
+        onClaimed(account, ++seq, *amount, now);
         const auto g = grant(home, {"w", seq, *amount, false}, GrantRole::Home, limit, {9, 9}, now);
-        for (const std::uint64_t it : onGranted(account, seq, g.Granted).Admitted)
+        for (const std::uint64_t it : onGranted(account, seq, g.Granted, now).Admitted)
           admitted += costs[it];
       }
     }
@@ -62,6 +62,24 @@
   }));
 }
 
+// Guards against claims that follow each other as fast as they are answered while a limit is
+// exhausted: seen as nodes that stood still for 1.5 s.
+BOOST_AUTO_TEST_CASE(ExhaustedLimitIsClaimedAtAPace) {
+  TokenAccount account;
+  Now now{TimePoint(1000s), WallTime(0s)};
+  unsigned claims = 0;
+  for (int i = 0; i < 10'000; ++i) {
+    now.Steady += 100us;
+    if (i % 10 == 0 && !take(account, 10, now))
+      wait(account, static_cast<std::uint64_t>(i + 1), 10);
+    if (const auto amount = amountToClaim(account, now)) {
+      onClaimed(account, ++claims, *amount, now);
+      (void)onGranted(account, claims, 0, now);
+    }
+  }
+  BOOST_TEST(claims <= 26U);
+}
+
 // Guards against a claim that is lost and blocks its requests, and against a grant that is counted
 // for the wrong claim.
 BOOST_AUTO_TEST_CASE(LostClaimsAreRepeated) {
@@ -69,15 +87,15 @@
   Now now{TimePoint(1000s), WallTime(0s)};
   BOOST_TEST(!take(account, 10, now));
   wait(account, 1, 10);
-  onClaimed(account, 1, now);
-  BOOST_TEST(!amountToClaim(account).has_value());
+  onClaimed(account, 1, 10, now);
+  BOOST_TEST(!amountToClaim(account, now).has_value());
   now.Steady += 1s;
   BOOST_TEST(isClaimLate(account, now));
   onClaimLost(account);
-  BOOST_TEST(amountToClaim(account).has_value());
-  onClaimed(account, 2, now);
-  BOOST_TEST(onGranted(account, 1, 0).Refused.empty());
-  BOOST_TEST(onGranted(account, 2, 0).Refused.size() == 1U);
+  BOOST_TEST(amountToClaim(account, now).has_value());
+  onClaimed(account, 2, 10, now);
+  BOOST_TEST(onGranted(account, 1, 0, now).Refused.empty());
+  BOOST_TEST(onGranted(account, 2, 0, now).Refused.size() == 1U);
 }
 
 // Guards against nodes that are cut off and each grant the whole limit: seen as four times the
--- a/packages/relay/Relay.cpp
+++ b/packages/relay/Relay.cpp
@@ -173,7 +173,7 @@
                   Random &rng) {
   Context ctx{state, out, now, rng};
   limits::TokenAccount &account = state.Accounts[grant.Workspace];
-  const limits::Admissions decided = limits::onGranted(account, grant.Seq, grant.Granted);
+  const limits::Admissions decided = limits::onGranted(account, grant.Seq, grant.Granted, now);
   for (const std::uint64_t id : decided.Admitted)
     if (const auto it = state.Tickets.find(id); it != state.Tickets.end())
       detail::dispatch(ctx, it->second);
@@ -194,6 +194,9 @@
 
 void tick(State &state, Effects &out, const Now &now, Random &rng) {
   Context ctx{state, out, now, rng};
+  for (auto &[workspace, account] : state.Accounts)
+    if (!account.Waiting.empty())
+      detail::claimMore(ctx, workspace, account);
   std::vector<RequestId> late;
   std::vector<Ticket *> waiting;
   for (auto &[id, ticket] : state.Tickets) {
--- a/packages/relay/RelayTest.cpp
+++ b/packages/relay/RelayTest.cpp
@@ -424,7 +424,8 @@
   BOOST_TEST(f.all<CallBackend>().empty());
   onTokenGrant(f.S, {claim.Workspace, claim.Seq, 1, 500ms}, f.Out, f.Time, f.Rng);
   BOOST_TEST(f.all<CallBackend>().size() == 1U);
-  // The second came after the claim and waits for the next one.
+  // The second came after the claim and waits for the next one, which is not made at once.
+  f.wait(100ms);
   const auto claims = f.all<ClaimTokens>();
   BOOST_REQUIRE(claims.size() == 2U);
   onTokenGrant(f.S, {claim.Workspace, claims[1].Seq, 0, 500ms}, f.Out, f.Time, f.Rng);
--- a/packages/relay/detail/Dispatch.cpp
+++ b/packages/relay/detail/Dispatch.cpp
@@ -130,11 +130,11 @@
 }
 
 void claimMore(Context &ctx, const std::string &workspace, limits::TokenAccount &account) {
-  const auto amount = limits::amountToClaim(account);
+  const auto amount = limits::amountToClaim(account, ctx.Time);
   if (!amount)
     return;
   const std::uint64_t seq = ctx.S.NextClaim++;
-  limits::onClaimed(account, seq, ctx.Time);
+  limits::onClaimed(account, seq, *amount, ctx.Time);
   ctx.Out.push_back(ClaimTokens{workspace, *amount, seq});
 }
 
