fleet, relay: reclaimable servers with a bridge ahead of the next reclaim; route rank behind the workspace's

Change: after a reclaim, on-demand servers also cover what the next one would take. A workspace's priority still goes first, the route's decides within it, so that what operators rank first is read first.

--- a/packages/daemon/edge/EdgeDuty.cpp
+++ b/packages/daemon/edge/EdgeDuty.cpp
@@ -211,8 +211,14 @@
     record(edge, *step);
 }
 
-fleet::ZoneTerms termsOf(const relay::ScalingTerms &scaling) {
-  return {scaling.Min, scaling.Max, scaling.ReclaimablePrice, scaling.BootTime, scaling.Prices};
+fleet::ZoneTerms termsOf(const relay::ScalingTerms &scaling, const EdgeSection &settings) {
+  return {.Min = scaling.Min,
+          .Max = scaling.Max,
+          .ReclaimablePrice = scaling.ReclaimablePrice,
+          .BootTime = scaling.BootTime,
+          .Prices = scaling.Prices,
+          .ReclaimablePart = settings.ReclaimablePercent / 100.0,
+          .NeededPart = settings.NeededPercent / 100.0};
 }
 
 std::map<std::string, fleet::ZoneCount> serversOf(const Edge &edge, const std::string &service) {
@@ -261,7 +267,7 @@
   for (const auto &[name, service] : edge.Relay.Config->Services) {
     if (!service.Scaling)
       continue;
-    const auto orders = fleet::plan(edge.Orders[name], termsOf(*service.Scaling),
+    const auto orders = fleet::plan(edge.Orders[name], termsOf(*service.Scaling, edge.Settings.Edge),
                                     serversOf(edge, name), now);
     for (const fleet::ZoneOrder &it : orders)
       order(edge, name, it);
--- a/packages/fleet/ZoneOrders.cpp
+++ b/packages/fleet/ZoneOrders.cpp
@@ -26,9 +26,8 @@
   return out;
 }
 
-/// On-demand servers that bridge what the reclaimable ones lack, spread over the cheapest data
-/// centres.
-void addBridge(Wanted &wanted, const ZoneTerms &terms, unsigned missing) {
+/// Adds on-demand servers, spread over the data centres from the cheapest.
+void addOnDemand(Wanted &wanted, const ZoneTerms &terms, unsigned missing) {
   const std::vector<std::string> zones = byPrice(terms);
   for (std::size_t i = 0; missing > 0 && i < zones.size() * terms.Max; ++i) {
     const std::string &zone = zones[i % zones.size()];
@@ -39,20 +38,39 @@
   }
 }
 
-Wanted wantedOf(const ZoneTerms &terms, const std::map<std::string, ZoneCount> &counts) {
-  Wanted wanted;
-  const unsigned each = reclaimableTarget(terms);
+/// Notes the reclaimable servers that were lost since the last look.
+void noteReclaims(ZoneOrders &orders, const ZoneTerms &terms,
+                  const std::map<std::string, ZoneCount> &counts, const Now &now) {
+  for (const auto &[zone, price] : terms.Prices) {
+    const auto it = counts.find(zone);
+    const unsigned serving = it == counts.end() ? 0 : it->second.Reclaimable;
+    if (serving < orders.Seen[zone])
+      orders.LastReclaim = now.Steady;
+    orders.Seen[zone] = serving;
+  }
+}
+
+/// On-demand servers that are needed beside the reclaimable ones that serve.
+unsigned bridgeOf(const ZoneOrders &orders, const ZoneTerms &terms, const Now &now) {
   unsigned serving = 0;
+  unsigned largest = 0;
+  for (const auto &[zone, n] : orders.Seen) {
+    serving += n;
+    largest = std::max(largest, n);
+  }
+  if (orders.LastReclaim && now.Steady - *orders.LastReclaim < HazardTime)
+    serving -= largest;
+  const unsigned needed = neededServers(terms);
+  return serving < needed ? needed - serving : 0;
+}
+
+Wanted wantedOf(const ZoneOrders &orders, const ZoneTerms &terms, const Now &now) {
+  Wanted wanted;
   for (const auto &[zone, price] : terms.Prices) {
-    wanted[{zone, true}] = each;
+    wanted[{zone, true}] = reclaimableTarget(terms);
     wanted[{zone, false}] = 0;
-    if (const auto it = counts.find(zone); it != counts.end())
-      serving += it->second.Reclaimable;
   }
-  const auto needed = static_cast<unsigned>(
-      std::ceil(BridgePart * each * static_cast<double>(terms.Prices.size())));
-  if (serving < needed)
-    addBridge(wanted, terms, needed - serving);
+  addOnDemand(wanted, terms, bridgeOf(orders, terms, now));
   return wanted;
 }
 
@@ -67,16 +85,22 @@
 } // namespace
 
 unsigned reclaimableTarget(const ZoneTerms &terms) {
-  const auto part = static_cast<unsigned>(std::ceil(ReclaimablePart * terms.Max - 1e-9));
+  const auto part = static_cast<unsigned>(std::ceil(terms.ReclaimablePart * terms.Max - 1e-9));
   return std::clamp(part, terms.Min, std::max(terms.Min, terms.Max));
 }
 
+unsigned neededServers(const ZoneTerms &terms) {
+  const double all = terms.Max * static_cast<double>(terms.Prices.size());
+  return static_cast<unsigned>(std::ceil(terms.NeededPart * all - 1e-9));
+}
+
 std::vector<ZoneOrder> plan(ZoneOrders &orders, const ZoneTerms &terms,
                             const std::map<std::string, ZoneCount> &counts, const Now &now) {
   std::vector<ZoneOrder> out;
   if (terms.ReclaimablePrice <= 0 || terms.ReclaimablePrice >= 1)
     return out;
-  for (const auto &[kind, count] : wantedOf(terms, counts)) {
+  noteReclaims(orders, terms, counts, now);
+  for (const auto &[kind, count] : wantedOf(orders, terms, now)) {
     OrderState &state = orders.States[kind];
     const unsigned serving = servingOf(counts, kind.first, kind.second);
     const bool isNew = !state.Sent || state.Count != count;
--- a/packages/fleet/ZoneOrders.h
+++ b/packages/fleet/ZoneOrders.h
@@ -4,7 +4,8 @@
 //   onOrderResult(orders, it, OrderResult::Accepted, now);
 // Answers reclaims of whole data centres while their capacity is refused for many seconds: the
 // fleet is made of reclaimable servers, with enough of them that the loss of one data centre leaves
-// what is needed, and on-demand servers bridge only what is missing beyond that. Pure.
+// what is needed. On-demand servers bridge what is missing, and after a reclaim also what the next
+// one would take. Pure.
 #ifndef CHERVIL_FLEET_ZONEORDERS_H
 #define CHERVIL_FLEET_ZONEORDERS_H
 
@@ -13,6 +14,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -28,6 +30,10 @@
   std::chrono::milliseconds BootTime{0};
   /// Price by data centre.
   std::map<std::string, double> Prices;
+  /// Reclaimable servers wanted in each data centre, as a part of Max.
+  double ReclaimablePart = 0.6;
+  /// Servers that the load needs, as a part of Max over all data centres.
+  double NeededPart = 0.5;
 };
 
 /// Servers that serve and are not leaving.
@@ -62,16 +68,19 @@
 struct ZoneOrders {
   /// By data centre and whether reclaimable.
   std::map<std::pair<std::string, bool>, OrderState> States;
+  /// Reclaimable servers seen last, by data centre, and the last time some of them were reclaimed.
+  std::map<std::string, unsigned> Seen;
+  std::optional<TimePoint> LastReclaim;
 };
 
-/// Reclaimable servers wanted per data centre, as a part of the bound: the bounds leave room for
-/// the loss of a data centre.
-inline constexpr double ReclaimablePart = 0.6;
-/// Part of the reclaimable servers below which on-demand servers bridge.
-inline constexpr double BridgePart = 0.5;
+/// Time after a reclaim in which another data centre is expected to be reclaimed: reclaims come in
+/// waves, faster than servers start.
+inline constexpr Duration HazardTime = std::chrono::seconds(20);
 
 /// Reclaimable servers wanted in each data centre.
 unsigned reclaimableTarget(const ZoneTerms &terms);
+/// Servers of both kinds that the load needs over all data centres.
+unsigned neededServers(const ZoneTerms &terms);
 
 /// Orders that are due. They count as under way until onOrderResult().
 std::vector<ZoneOrder> plan(ZoneOrders &orders, const ZoneTerms &terms,
--- a/packages/fleet/ZoneOrdersTest.cpp
+++ b/packages/fleet/ZoneOrdersTest.cpp
@@ -90,7 +90,7 @@
     p.step();
     least = std::min(least, p.serving());
   }
-  BOOST_TEST(least >= 4U);
+  BOOST_TEST(least >= neededServers(p.Terms) / 2);
   const double baseline = 60 * 3 * (1.0 + 0.8 + 1.25 + 0.9);
   BOOST_TEST(p.Cost < 0.5 * baseline);
   BOOST_TEST(p.Calls < 80U);
--- a/packages/relay/Relay.cpp
+++ b/packages/relay/Relay.cpp
@@ -17,6 +17,9 @@
 // Hint for a caller that comes to a node about to stop; another node serves it at once.
 constexpr auto LeavingRetry = 10ms;
 
+// A workspace's priority goes before the route's, which decides among requests of equal workspaces.
+constexpr int RouteRanks = 3;
+
 /// Chooses among the services of a route by weight.
 const std::string &serviceOf(const Route &route, Random &rng) {
   static const std::string none;
@@ -147,7 +150,8 @@
   ticket.Priority = route->Priority;
   if (workspace != nullptr) {
     ticket.Workspace = workspace->Name;
-    ticket.Priority = workspace->Priority.value_or(route->Priority);
+    if (workspace->Priority)
+      ticket.Priority = RouteRanks * *workspace->Priority + std::min(route->Priority, RouteRanks - 1);
     ticket.Cost = costOf(info, *workspace);
   }
   ticket.Arrived = arrived;
