relay, fleet: share loads between nodes, fetch shared parts, keep bridge servers in place

Cause: a node saw only its own requests, a ninth of a server's work, and a third of the long prompts was read by a server without their shared part (tender first byte p50 638 ms there, 149 ms elsewhere). Bridge servers moved between data centres at each refusal. Ruled out: reports of the servers, which lag 200 ms and are priced. Change: nodes tell at most 16 others their pending and running work; the server with the least to read wins, and one without the shared part fetches its memory from the probable holder. Bridge servers stay where they are; room refused to reclaimable ones is used.

--- a/packages/daemon/edge/Edge.h
+++ b/packages/daemon/edge/Edge.h
@@ -79,6 +79,8 @@
   duty::Lease Lease;
   duty::UsageBook Usage;
   duty::UsagePosting Posting;
+  /// Backend servers named in the last message about this node's work.
+  std::size_t SentLoads = 0;
   bool ActsAsHolder = false;
   /// Orders of backend servers by service, while this node holds the duty.
   std::map<std::string, fleet::ZoneOrders> Orders;
--- a/packages/daemon/edge/EdgeDuty.cpp
+++ b/packages/daemon/edge/EdgeDuty.cpp
@@ -267,8 +267,9 @@
   for (const auto &[name, service] : edge.Relay.Config->Services) {
     if (!service.Scaling)
       continue;
-    const auto orders = fleet::plan(edge.Orders[name], termsOf(*service.Scaling, edge.Settings.Edge),
-                                    serversOf(edge, name), now);
+    const auto orders =
+        fleet::plan(edge.Orders[name], termsOf(*service.Scaling, edge.Settings.Edge),
+                    serversOf(edge, name), now);
     for (const fleet::ZoneOrder &it : orders)
       order(edge, name, it);
   }
--- a/packages/daemon/edge/EdgePeers.cpp
+++ b/packages/daemon/edge/EdgePeers.cpp
@@ -20,6 +20,9 @@
 constexpr Duration AvoidHomeFor = 2s;
 // A fleet that shrank is taken to be as large as before for this long: its nodes may be cut off.
 constexpr Duration KnownTime = 60s;
+// Nodes that are told of this node's work in one round. Bounds the traffic of large fleets, where
+// each node then knows a sample.
+constexpr std::size_t MaxLoadPeers = 16;
 
 void apply(Edge &edge, const membership::Effects &effects) {
   for (const membership::Outgoing &it : effects.Messages)
@@ -172,6 +175,9 @@
       net::send(*E.Peers, Address, listCopy(E));
   }
   void operator()(const message::BackendListCopy &m) const { onListCopy(E, m); }
+  void operator()(const message::BackendLoads &m) const {
+    relay::applyPeerLoads(E.Relay.Servers, From.Name, m, Time);
+  }
   /// Messages about records and shards, which this form of a node does not have.
   template <typename Other> void operator()(const Other &) const {
     count(E.Counters, "peer_message_ignored", "unknown");
@@ -229,6 +235,21 @@
     sendTo(edge, others[pick(edge.Rng)], message::BackendListRequest{edge.ListRevision});
 }
 
+/// Tells other nodes this node's work on the backend servers that they share.
+void shareLoads(Edge &edge) {
+  message::BackendLoads loads = relay::ownLoads(edge.Relay.Servers);
+  if (loads.Loads.empty() && edge.SentLoads == 0)
+    return;
+  edge.SentLoads = loads.Loads.size();
+  std::vector<NodeId> others = otherMembers(edge);
+  if (others.size() > MaxLoadPeers) {
+    std::ranges::shuffle(others, edge.Rng);
+    others.resize(MaxLoadPeers);
+  }
+  for (const NodeId &it : others)
+    sendTo(edge, it, loads);
+}
+
 } // namespace
 
 std::string selfKey(const Edge &edge) {
@@ -332,6 +353,7 @@
   apply(edge, config::spread(edge.Documents, otherMembers(edge), edge.Rng, now));
   checkClaims(edge);
   askForList(edge);
+  shareLoads(edge);
 }
 
 } // namespace chervil::daemon::detail
--- a/packages/fleet/ZoneOrders.cpp
+++ b/packages/fleet/ZoneOrders.cpp
@@ -26,15 +26,51 @@
   return out;
 }
 
-/// Adds on-demand servers, spread over the data centres from the cheapest.
-void addOnDemand(Wanted &wanted, const ZoneTerms &terms, unsigned missing) {
+/// Reclaimable servers that count against the bound of a data centre: those wanted, or those that
+/// serve where no more are to be had.
+unsigned roomTaken(Wanted &wanted, const ZoneOrders &orders, const std::string &zone) {
+  const auto state = orders.States.find({zone, true});
+  const auto seen = orders.Seen.find(zone);
+  if (state != orders.States.end() && state->second.Refused && seen != orders.Seen.end())
+    return seen->second;
+  return wanted[{zone, true}];
+}
+
+/// On-demand servers of a data centre as ordered last, or as found.
+unsigned presentOnDemand(const ZoneOrders &orders, const std::map<std::string, ZoneCount> &counts,
+                         const std::string &zone) {
+  const auto state = orders.States.find({zone, false});
+  if (state != orders.States.end())
+    return state->second.Count;
+  const auto found = counts.find(zone);
+  return found == counts.end() ? 0 : found->second.OnDemand;
+}
+
+/// Spreads on-demand servers over the data centres. Those that are there stay where they are: a
+/// move costs the start of a server and the prompts it has read. Others are added in the cheapest
+/// data centres first and given up in the dearest first.
+void spreadOnDemand(Wanted &wanted, const ZoneOrders &orders, const ZoneTerms &terms,
+                    const std::map<std::string, ZoneCount> &counts, unsigned needed) {
   const std::vector<std::string> zones = byPrice(terms);
-  for (std::size_t i = 0; missing > 0 && i < zones.size() * terms.Max; ++i) {
+  unsigned total = 0;
+  for (const std::string &zone : zones) {
+    const unsigned n = std::min(presentOnDemand(orders, counts, zone), terms.Max);
+    wanted[{zone, false}] = n;
+    total += n;
+  }
+  for (std::size_t i = 0; total < needed && i < zones.size() * terms.Max; ++i) {
     const std::string &zone = zones[i % zones.size()];
-    if (wanted[{zone, true}] + wanted[{zone, false}] >= terms.Max)
+    if (roomTaken(wanted, orders, zone) + wanted[{zone, false}] >= terms.Max)
       continue;
     ++wanted[{zone, false}];
-    --missing;
+    ++total;
+  }
+  for (std::size_t i = 0; total > needed; ++i) {
+    unsigned &n = wanted[{zones[zones.size() - 1 - i % zones.size()], false}];
+    if (n == 0)
+      continue;
+    --n;
+    --total;
   }
 }
 
@@ -64,13 +100,17 @@
   return serving < needed ? needed - serving : 0;
 }
 
-Wanted wantedOf(const ZoneOrders &orders, const ZoneTerms &terms, const Now &now) {
+Wanted wantedOf(const ZoneOrders &orders, const ZoneTerms &terms,
+                const std::map<std::string, ZoneCount> &counts, const Now &now) {
   Wanted wanted;
   for (const auto &[zone, price] : terms.Prices) {
     wanted[{zone, true}] = reclaimableTarget(terms);
     wanted[{zone, false}] = 0;
   }
-  addOnDemand(wanted, terms, bridgeOf(orders, terms, now));
+  spreadOnDemand(wanted, orders, terms, counts, bridgeOf(orders, terms, now));
+  for (const auto &[zone, price] : terms.Prices)
+    wanted[{zone, true}] =
+        std::min(wanted[{zone, true}], terms.Max - std::min(terms.Max, wanted[{zone, false}]));
   return wanted;
 }
 
@@ -100,14 +140,14 @@
   if (terms.ReclaimablePrice <= 0 || terms.ReclaimablePrice >= 1)
     return out;
   noteReclaims(orders, terms, counts, now);
-  for (const auto &[kind, count] : wantedOf(orders, terms, now)) {
+  for (const auto &[kind, count] : wantedOf(orders, terms, counts, now)) {
     OrderState &state = orders.States[kind];
     const unsigned serving = servingOf(counts, kind.first, kind.second);
     const bool isNew = !state.Sent || state.Count != count;
     const bool isShort = serving < count && now.Steady - state.SentAt > terms.BootTime + BootMargin;
     if (state.Pending || now.Steady < state.NotBefore || (!isNew && !isShort))
       continue;
-    state = {true, true, count, now.Steady, now.Steady};
+    state = {true, true, state.Refused, count, now.Steady, now.Steady};
     out.push_back({kind.first, kind.second, count});
   }
   return out;
@@ -116,6 +156,7 @@
 void onOrderResult(ZoneOrders &orders, const ZoneOrder &order, OrderResult result, const Now &now) {
   OrderState &state = orders.States[{order.DataCentre, order.Reclaimable}];
   state.Pending = false;
+  state.Refused = result == OrderResult::Refused;
   if (result == OrderResult::Accepted)
     return;
   state.Sent = false;
--- a/packages/fleet/ZoneOrders.h
+++ b/packages/fleet/ZoneOrders.h
@@ -31,9 +31,9 @@
   /// Price by data centre.
   std::map<std::string, double> Prices;
   /// Reclaimable servers wanted in each data centre, as a part of Max.
-  double ReclaimablePart = 0.6;
+  double ReclaimablePart = 0.75;
   /// Servers that the load needs, as a part of Max over all data centres.
-  double NeededPart = 0.5;
+  double NeededPart = 0.35;
 };
 
 /// Servers that serve and are not leaving.
@@ -60,6 +60,8 @@
 struct OrderState {
   bool Sent = false;
   bool Pending = false;
+  /// The last order was refused.
+  bool Refused = false;
   unsigned Count = 0;
   TimePoint SentAt{};
   TimePoint NotBefore{};
--- a/packages/limits/TokenAccount.h
+++ b/packages/limits/TokenAccount.h
@@ -56,8 +56,8 @@
 /// Returns a cost that was taken for a request that did not run.
 void giveBack(TokenAccount &account, double cost);
 
-/// Amount to claim now; absent while a claim is under way or may not follow yet, and when nothing is
-/// needed.
+/// Amount to claim now; absent while a claim is under way or may not follow yet, and when nothing
+/// is needed.
 std::optional<double> amountToClaim(const TokenAccount &account, const Now &now);
 
 void onClaimed(TokenAccount &account, std::uint64_t seq, double amount, const Now &now);
--- a/packages/message/Message.h
+++ b/packages/message/Message.h
@@ -5,6 +5,7 @@
 #include "message/Ack.h"
 #include "message/BackendListCopy.h"
 #include "message/BackendListRequest.h"
+#include "message/BackendLoads.h"
 #include "message/BackendNews.h"
 #include "message/Chunk.h"
 #include "message/Close.h"
@@ -48,7 +49,8 @@
                  Mark, MarkReply, Progress, Finish, FinishReply, Close, CloseReply, Fetch, Chunk,
                  End, Handover, HandoverReply, StandbyReady, TableChunk, TableAck, DemandReport,
                  ShareGrant, CrashReport, BackendNews, EpochProbe, EpochConfirm, MemberExchange,
-                 TokenClaim, TokenGrant, UsageReport, BackendListRequest, BackendListCopy>;
+                 TokenClaim, TokenGrant, UsageReport, BackendListRequest, BackendListCopy,
+                 BackendLoads>;
 
 } // namespace chervil::message
 
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -102,6 +102,7 @@
   void operator()(const message::UsageReport &) const {}
   void operator()(const message::BackendListRequest &) const {}
   void operator()(const message::BackendListCopy &) const {}
+  void operator()(const message::BackendLoads &) const {}
 };
 
 void onBackendNotice(Context &ctx, const BackendNotice &notice) {
--- a/packages/relay/Answers.cpp
+++ b/packages/relay/Answers.cpp
@@ -25,7 +25,10 @@
   if (ticket.Began)
     return;
   ticket.Began = true;
+  if (ticket.FirstByte == TimePoint{})
+    ticket.FirstByte = ctx.Time.Steady;
   observeFirstByte(ctx.S.Servers, ticket.Backend, ctx.Time.Steady - ticket.Sent);
+  onFirstByte(ctx.S.Servers, ticket.Backend, ticket.PendingTokens, ticket.Info.Prompt);
   // A stream that continues is the same run for its workspace.
   if (!ticket.Workspace.empty() && ticket.LastEvent.empty())
     ctx.Out.push_back(RunBegan{ticket.Workspace});
--- a/packages/relay/Backends.cpp
+++ b/packages/relay/Backends.cpp
@@ -19,10 +19,18 @@
 // A full server is avoided until its queue had time to move.
 constexpr Duration AvoidFullFor = 300ms;
 constexpr double FirstByteWeight = 0.2;
-// A server that holds a prompt's shared part is chosen up to this multiple of the mean load and
-// this many requests above it; reading a long shared part again costs about 200 ms.
-constexpr double AffinityLoadBound = 1.5;
-constexpr double AffinityLoadSlack = 3;
+// Work at another server, in tokens read, that is accepted before a prompt leaves the holder of its
+// shared part: a second copy takes memory that other parts need, and its transfer has a price.
+constexpr double FetchTokens = 7000;
+// Work of fetching a shared part, in tokens read: the way of the memory takes about 20 ms.
+constexpr double FetchWork = 1500;
+// Work of a running request on a server of SlotScale slots, in tokens read: each slows the others.
+constexpr double RunningTokens = 60;
+constexpr double SlotScale = 64;
+// Work of other nodes is forgotten after this time without news.
+constexpr Duration PeerLoadLifetime = 1s;
+// Holders remembered; about 60 bytes each.
+constexpr std::size_t MaxHolders = 50'000;
 // Servers in another data centre cost a hop of about a millisecond and traffic between data
 // centres; equal load stays local.
 constexpr double OtherDataCentreLoad = 0.3;
@@ -72,19 +80,12 @@
   return best;
 }
 
-/// Rendezvous hashing with bounded load: all nodes rank the servers of a prompt alike without
-/// talking to each other, and few prompts move when a server comes or goes.
-const Backend *byPrompt(const std::vector<const Backend *> &from, std::uint64_t part) {
-  double total = 0;
-  for (const Backend *it : from)
-    total += it->Inflight;
-  const double bound =
-      AffinityLoadBound * total / static_cast<double>(from.size()) + AffinityLoadSlack;
+/// Rendezvous hashing: all nodes rank the servers of a part alike without talking to each other,
+/// and few parts move when a server comes or goes.
+const Backend *firstInRank(const std::vector<const Backend *> &from, std::uint64_t part) {
   const Backend *best = nullptr;
   std::uint64_t bestRank = 0;
   for (const Backend *it : from) {
-    if (it->Inflight > bound)
-      continue;
     const std::uint64_t rank = hashBytes(it->Entry.Id, part);
     if (best == nullptr || rank > bestRank) {
       best = it;
@@ -94,8 +95,57 @@
   return best;
 }
 
+/// The server that probably holds a shared part: the one that read it last for this node, or the
+/// one that the other nodes choose first.
+const Backend *holderOf(const Backends &backends, const std::vector<const Backend *> &candidates,
+                        std::uint64_t part) {
+  const auto known = backends.Holders.find(part);
+  if (known != backends.Holders.end()) {
+    const auto it = backends.Servers.find(known->second);
+    if (it != backends.Servers.end() && !it->second.Missing)
+      return &it->second;
+  }
+  return firstInRank(candidates, part);
+}
+
+/// Prompt tokens that a server reads before the first token of new work.
+double waitingTokens(const Backend &it) {
+  return it.PendingTokens + it.OthersPending +
+         RunningTokens * (it.Running + it.OthersRunning) * SlotScale / std::max(1U, it.Entry.Slots);
+}
+
+/// The server with the least to read, the prompt's own part included. One that does not hold the
+/// shared part fetches it from the holder.
+Choice byPrompt(const Backends &backends, const std::vector<const Backend *> &candidates,
+                const Work &work, std::uint64_t part) {
+  const Backend *holder = holderOf(backends, candidates, part);
+  const Backend *first = firstInRank(candidates, part);
+  const double own = work.Prompt.back().Tokens;
+  const auto shared = static_cast<double>(sharedTokensOf(work.Prompt));
+  const double fetch = std::min(FetchTokens, shared);
+  Choice best;
+  double bestCost = 0;
+  for (const Backend *it : candidates) {
+    const double missing = it == holder ? 0 : it == first ? fetch / 2 : fetch;
+    const double cost = waitingTokens(*it) + missing;
+    if (best.Server != nullptr && cost >= bestCost)
+      continue;
+    best = {it, own + (it == holder ? 0 : std::min(FetchWork, shared)),
+            it == holder ? nullptr : holder};
+    bestCost = cost;
+  }
+  return best;
+}
+
 } // namespace
 
+std::uint64_t sharedTokensOf(std::span<const PromptPart> prompt) {
+  std::uint64_t tokens = 0;
+  for (std::size_t i = 0; i + 1 < prompt.size(); ++i)
+    tokens += prompt[i].Tokens;
+  return tokens;
+}
+
 std::optional<std::uint64_t> sharedPartOf(std::span<const PromptPart> prompt) {
   if (prompt.size() < 2)
     return std::nullopt;
@@ -115,6 +165,7 @@
       const unsigned inflight = it.Inflight;
       it = {};
       it.Inflight = inflight;
+      it.Since = now.Steady;
       backends.LeavingNews.erase(entry.Id);
     }
     it.Missing.reset();
@@ -154,14 +205,37 @@
   return isNew;
 }
 
-const Backend *choose(const Backends &backends, const Work &work, const Now &now, Random &rng) {
+Choice choose(const Backends &backends, const Work &work, const Now &now, Random &rng) {
   const std::vector<const Backend *> candidates = candidatesOf(backends, work, now);
   if (candidates.empty())
-    return nullptr;
+    return {};
   if (const auto part = sharedPartOf(work.Prompt))
-    if (const Backend *it = byPrompt(candidates, *part))
-      return it;
-  return leastLoaded(backends, candidates, rng);
+    return byPrompt(backends, candidates, work, *part);
+  return {leastLoaded(backends, candidates, rng), 0, nullptr};
+}
+
+void applyPeerLoads(Backends &backends, const std::string &node, const message::BackendLoads &loads,
+                    const Now &now) {
+  backends.PeerLoads[node] = {now.Steady, loads};
+  std::erase_if(backends.PeerLoads,
+                [&](const auto &it) { return now.Steady - it.second.first > PeerLoadLifetime; });
+  for (auto &[id, it] : backends.Servers)
+    it.OthersRunning = it.OthersPending = 0;
+  for (const auto &[name, said] : backends.PeerLoads)
+    for (const message::BackendLoad &load : said.second.Loads)
+      if (Backend *it = find(backends, load.Backend)) {
+        it->OthersPending += load.PendingTokens;
+        it->OthersRunning += load.Running;
+      }
+}
+
+message::BackendLoads ownLoads(const Backends &backends) {
+  message::BackendLoads out;
+  for (const auto &[id, it] : backends.Servers)
+    if (it.Inflight > 0)
+      out.Loads.push_back({id, static_cast<std::uint32_t>(std::max(0.0, it.PendingTokens)),
+                           static_cast<std::uint32_t>(it.Running)});
+  return out;
 }
 
 bool hasLive(const Backends &backends, std::string_view service) {
@@ -175,14 +249,37 @@
   return it == backends.Servers.end() ? nullptr : &it->second;
 }
 
-void onStarted(Backends &backends, const std::string &id) {
-  if (Backend *it = find(backends, id))
+void onStarted(Backends &backends, const std::string &id, double pending) {
+  if (Backend *it = find(backends, id)) {
     ++it->Inflight;
+    it->PendingTokens += pending;
+  }
 }
 
-void onEnded(Backends &backends, const std::string &id) {
-  if (Backend *it = find(backends, id); it != nullptr && it->Inflight > 0)
-    --it->Inflight;
+void onFirstByte(Backends &backends, const std::string &id, double pending,
+                 std::span<const PromptPart> prompt) {
+  if (Backend *it = find(backends, id)) {
+    ++it->Running;
+    it->PendingTokens = std::max(0.0, it->PendingTokens - pending);
+  }
+  const auto part = sharedPartOf(prompt);
+  if (part && (backends.Holders.size() < MaxHolders || backends.Holders.contains(*part)))
+    backends.Holders[*part] = id;
+}
+
+void onEnded(Backends &backends, const std::string &id, double pending, bool began) {
+  Backend *it = find(backends, id);
+  if (it == nullptr || it->Inflight == 0)
+    return;
+  --it->Inflight;
+  if (began && it->Running > 0)
+    --it->Running;
+  if (!began)
+    it->PendingTokens = std::max(0.0, it->PendingTokens - pending);
+  if (it->Inflight == 0) {
+    it->Running = 0;
+    it->PendingTokens = 0;
+  }
 }
 
 void observe(Backends &backends, const std::string &id, Observation what, const Now &now) {
--- a/packages/relay/Backends.h
+++ b/packages/relay/Backends.h
@@ -7,6 +7,7 @@
 
 #include "base/Random.h"
 #include "base/Time.h"
+#include "message/BackendLoads.h"
 #include "relay/BackendEntry.h"
 #include "relay/RequestInfo.h"
 
@@ -15,6 +16,8 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace chervil::relay {
@@ -27,6 +30,14 @@
   std::optional<TimePoint> Missing;
   /// Requests of this node on it.
   unsigned Inflight = 0;
+  /// Those of them whose answer is under way, and prompt tokens of the others.
+  unsigned Running = 0;
+  double PendingTokens = 0;
+  /// The same of all other nodes, as far as they said so lately.
+  double OthersRunning = 0;
+  double OthersPending = 0;
+  /// When this node saw the server first.
+  TimePoint Since{};
   /// Failed part of the last answers, 0 to 1.
   double FailureRate = 0;
   /// Connections or answers that failed one after the other.
@@ -42,6 +53,19 @@
   std::map<std::string, Backend> Servers;
   /// Ids that peers reported as leaving before the list showed it, with the start they concern.
   std::map<std::string, TimePoint> LeavingNews;
+  /// Work of other nodes, by node, with the time at which they said so.
+  std::map<std::string, std::pair<TimePoint, message::BackendLoads>> PeerLoads;
+  /// Server that read a shared part of prompts last, by part; bounded.
+  std::unordered_map<std::uint64_t, std::string> Holders;
+};
+
+/// Where a request goes.
+struct Choice {
+  const Backend *Server = nullptr;
+  /// Prompt tokens that the server is expected to read.
+  double PendingTokens = 0;
+  /// A server that probably holds the shared part which the chosen one lacks; null if none.
+  const Backend *Holder = nullptr;
 };
 
 /// What a choice depends on.
@@ -64,16 +88,27 @@
 /// A peer knows that a server is leaving. Returns true if this node did not.
 bool applyLeaving(Backends &backends, const std::string &id, const Now &now);
 
-/// Null if no server can take the work.
-const Backend *choose(const Backends &backends, const Work &work, const Now &now, Random &rng);
+/// Without a server if none can take the work.
+Choice choose(const Backends &backends, const Work &work, const Now &now, Random &rng);
+
+/// Work of another node; replaces what it said before.
+void applyPeerLoads(Backends &backends, const std::string &node, const message::BackendLoads &loads,
+                    const Now &now);
+/// This node's own work, for the others.
+message::BackendLoads ownLoads(const Backends &backends);
 
 /// True if the service has a server that is not leaving.
 bool hasLive(const Backends &backends, std::string_view service);
 
 Backend *find(Backends &backends, const std::string &id);
 
-void onStarted(Backends &backends, const std::string &id);
-void onEnded(Backends &backends, const std::string &id);
+/// A request was sent; `pending` are the prompt tokens of Choice.
+void onStarted(Backends &backends, const std::string &id, double pending);
+/// Its first byte arrived: the server has read the prompt.
+void onFirstByte(Backends &backends, const std::string &id, double pending,
+                 std::span<const PromptPart> prompt);
+/// It ended; `began` tells whether its first byte had arrived.
+void onEnded(Backends &backends, const std::string &id, double pending, bool began);
 
 enum class Observation : std::uint8_t {
   Success,
@@ -87,6 +122,9 @@
 void observe(Backends &backends, const std::string &id, Observation what, const Now &now);
 void observeFirstByte(Backends &backends, const std::string &id, Duration time);
 
+/// Tokens of a prompt before its last part, which other requests share.
+std::uint64_t sharedTokensOf(std::span<const PromptPart> prompt);
+
 /// Hash that identifies the shared part of a prompt: equal prompts belong to one server's cache.
 std::optional<std::uint64_t> sharedPartOf(std::span<const PromptPart> prompt);
 
--- a/packages/relay/Effect.h
+++ b/packages/relay/Effect.h
@@ -33,6 +33,8 @@
   int Priority = 5;
   /// The event after which the stream continues; empty for the caller's own value.
   std::string ResumeAfter;
+  /// Address of a server from which the memory of shared prompt parts is fetched; may be empty.
+  std::string FetchFrom;
 };
 
 /// End a call; no further events come for it.
--- a/packages/relay/Relay.cpp
+++ b/packages/relay/Relay.cpp
@@ -151,7 +151,8 @@
   if (workspace != nullptr) {
     ticket.Workspace = workspace->Name;
     if (workspace->Priority)
-      ticket.Priority = RouteRanks * *workspace->Priority + std::min(route->Priority, RouteRanks - 1);
+      ticket.Priority =
+          RouteRanks * *workspace->Priority + std::min(route->Priority, RouteRanks - 1);
     ticket.Cost = costOf(info, *workspace);
   }
   ticket.Arrived = arrived;
--- a/packages/relay/Ticket.h
+++ b/packages/relay/Ticket.h
@@ -48,7 +48,11 @@
   /// The present call; 0 if there is none.
   CallId Call = 0;
   std::string Backend;
+  /// Prompt tokens that the server was expected to read.
+  double PendingTokens = 0;
   TimePoint Sent{};
+  /// When the first byte of an answer arrived; the epoch until then.
+  TimePoint FirstByte{};
   /// Servers that the request was sent to.
   std::vector<std::string> Tried;
   /// Sends that a server did not say it rejected: each may have run.
--- a/packages/relay/detail/Dispatch.cpp
+++ b/packages/relay/detail/Dispatch.cpp
@@ -32,7 +32,8 @@
   return it == ticket.Configuration->Services.end() ? nullptr : &it->second;
 }
 
-void send(Context &ctx, Ticket &ticket, const Backend &server) {
+void send(Context &ctx, Ticket &ticket, const Choice &choice) {
+  const Backend &server = *choice.Server;
   State &state = ctx.S;
   ticket.Call = state.NextCall++;
   ticket.Backend = server.Entry.Id;
@@ -45,7 +46,8 @@
   if (ticket.Stage != Stage::Streaming)
     ticket.Stage = Stage::Running;
   state.Calls.emplace(ticket.Call, ticket.Id);
-  onStarted(state.Servers, ticket.Backend);
+  ticket.PendingTokens = choice.PendingTokens;
+  onStarted(state.Servers, ticket.Backend, ticket.PendingTokens);
   CallBackend call;
   call.Call = ticket.Call;
   call.Request = ticket.Id;
@@ -57,6 +59,8 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(ticket.Deadline - ctx.Time.Steady);
   call.Priority = ticket.Priority;
   call.ResumeAfter = ticket.LastEvent;
+  if (choice.Holder != nullptr && choice.Holder != choice.Server)
+    call.FetchFrom = choice.Holder->Entry.Address;
   ctx.Out.push_back(std::move(call));
 }
 
@@ -79,9 +83,10 @@
     refuse(ctx, ticket, ResultCode::DeadlineUnreachable, 0ms);
     return;
   }
-  if (const Backend *server = choose(state.Servers, workOf(state, ticket), ctx.Time, ctx.Rng)) {
+  const Choice choice = choose(state.Servers, workOf(state, ticket), ctx.Time, ctx.Rng);
+  if (choice.Server != nullptr) {
     onFirstSend(state.Retries[ticket.Service], ctx.Time, state.Settings.RetryWindow);
-    send(ctx, ticket, *server);
+    send(ctx, ticket, choice);
     return;
   }
   if (!hasLive(state.Servers, ticket.Service)) {
@@ -103,8 +108,8 @@
   if (ticket.Runs >= ticket.Path->MaxAttempts || ticket.Tried.size() >= bound ||
       ctx.Time.Steady + MinRunTime > ticket.GiveUp)
     return false;
-  const Backend *server = choose(state.Servers, workOf(state, ticket), ctx.Time, ctx.Rng);
-  if (server == nullptr)
+  const Choice choice = choose(state.Servers, workOf(state, ticket), ctx.Time, ctx.Rng);
+  if (choice.Server == nullptr)
     return false;
   if (!tryRepeat(state.Retries[ticket.Service], state.Settings, state.LiveNodes, ctx.Time)) {
     ctx.Out.push_back(Count{"retry_refused", "budget"});
@@ -113,9 +118,9 @@
   ++ticket.Repeats;
   ctx.Out.push_back(Count{"retries", chervil::info(ticket.LastFailure).Name});
   note(ctx, ticket, "retry",
-       {{"reason", chervil::info(ticket.LastFailure).Name}, {"to", server->Entry.Id}});
+       {{"reason", chervil::info(ticket.LastFailure).Name}, {"to", choice.Server->Entry.Id}});
   endCall(ctx, ticket, false);
-  send(ctx, ticket, *server);
+  send(ctx, ticket, choice);
   return true;
 }
 
@@ -123,7 +128,7 @@
   if (ticket.Call == 0)
     return;
   ctx.S.Calls.erase(ticket.Call);
-  onEnded(ctx.S.Servers, ticket.Backend);
+  onEnded(ctx.S.Servers, ticket.Backend, ticket.PendingTokens, ticket.Began);
   if (cancel)
     ctx.Out.push_back(CancelBackend{ticket.Call});
   ticket.Call = 0;
--- a/packages/relay/detail/Outcome.cpp
+++ b/packages/relay/detail/Outcome.cpp
@@ -36,6 +36,13 @@
   values.emplace_back("backend", ticket.Backend);
   values.emplace_back("runs", std::to_string(ticket.Runs));
   values.emplace_back("sends", std::to_string(ticket.Tried.size()));
+  if (ticket.FirstByte != TimePoint{})
+    values.emplace_back("first_byte_ms", millis(ticket.FirstByte - ticket.Arrived));
+  if (const auto part = sharedPartOf(ticket.Info.Prompt)) {
+    values.emplace_back("shared_part", std::to_string(*part));
+    values.emplace_back("shared_tokens", std::to_string(sharedTokensOf(ticket.Info.Prompt)));
+    values.emplace_back("prompt_tokens", std::to_string(ticket.Info.PromptTokens));
+  }
   values.emplace_back("age_ms", millis(ctx.Time.Steady - ticket.Arrived));
   values.emplace_back("left_ms", millis(ticket.Deadline - ctx.Time.Steady));
   values.emplace_back("config", std::to_string(ticket.Configuration->Version));
--- a/packages/settings/SettingKeys.cpp
+++ b/packages/settings/SettingKeys.cpp
@@ -200,10 +200,10 @@
     {"edge", "retry_window", Duration, "10s", Second, Hour, "Time over which repeats are counted.",
      at<&S::Edge, &EdgeSection::RetryWindow>},
 
-    {"edge", "reclaimable_percent", Percent, "60", 0, 100,
+    {"edge", "reclaimable_percent", Percent, "75", 0, 100,
      "Reclaimable backend servers ordered per data centre, as part of the bound on servers there.",
      at<&S::Edge, &EdgeSection::ReclaimablePercent>},
-    {"edge", "needed_percent", Percent, "50", 0, 100,
+    {"edge", "needed_percent", Percent, "35", 0, 100,
      "Backend servers that the load needs, as part of the bounds of all data centres.",
      at<&S::Edge, &EdgeSection::NeededPercent>},
 
--- a/packages/wire/detail/Fields.h
+++ b/packages/wire/detail/Fields.h
@@ -138,6 +138,10 @@
 template <Is<message::BackendListCopy> M> auto fields(M &m) {
   return std::tie(m.Revision, m.Backends);
 }
+template <Is<message::BackendLoad> M> auto fields(M &m) {
+  return std::tie(m.Backend, m.PendingTokens, m.Running);
+}
+template <Is<message::BackendLoads> M> auto fields(M &m) { return std::tie(m.Loads); }
 
 /// A struct with a list of fields above.
 template <typename T>
