--- a/packages/daemon/edge/Edge.cpp
+++ b/packages/daemon/edge/Edge.cpp
@@ -23,7 +23,7 @@
 constexpr Duration SettingsPeriod = 2s;
 // The list of backend servers is read again and again: a watch on it would return at every
 // heartbeat of every server.
-constexpr Duration ServerPollPeriod = 800ms;
+constexpr Duration ServerPollPeriod = 900ms;
 // After SIGTERM a node takes requests for this long, because callers use the list of addresses that
 // they hold; later ones might not end before the process does.
 constexpr Duration LeavingTime = 2500ms;
@@ -178,9 +178,9 @@
 }
 
 Result<void> start(Edge &edge) {
-  if (const Result<void> ok = detail::startPeers(edge); !ok)
+  if (Result<void> ok = detail::startPeers(edge); !ok)
     return ok;
-  if (const Result<void> ok = detail::startServers(edge); !ok)
+  if (Result<void> ok = detail::startServers(edge); !ok)
     return ok;
   startTimers(edge);
   detail::logLine(edge, "node", "started",
--- a/packages/daemon/edge/Edge.h
+++ b/packages/daemon/edge/Edge.h
@@ -88,6 +88,10 @@
   /// Since when no node has held the duty.
   std::optional<TimePoint> DutyFreeSince;
   TimePoint NextUsageReport{};
+  /// The counts that an earlier holder left in the store have been read.
+  bool BookKnown = false;
+  bool BookBusy = false;
+  TimePoint NextBookWrite{};
   /// Calls of the mirrors that are under way, by prefix.
   std::map<std::string, std::uint64_t> MirrorCalls;
   bool IsLeaving = false;
--- a/packages/daemon/edge/EdgeDuty.cpp
+++ b/packages/daemon/edge/EdgeDuty.cpp
@@ -16,7 +16,10 @@
 constexpr const char *RecordKey = "chervil/duty/usage";
 // Nodes try for a free duty one after the other, by name, so that few calls collide.
 constexpr Duration StandDelay = 150ms;
-constexpr Duration ReportPeriod = 500ms;
+constexpr const char *BookKey = "chervil/duty/counts";
+constexpr Duration ReportPeriod = 300ms;
+// Counts of nodes that end with the holder survive it in the store, up to this age.
+constexpr Duration BookPeriod = 1s;
 constexpr Duration OrderPeriod = 500ms;
 
 using OnResult = std::function<void(int status, const std::string &body)>;
@@ -147,6 +150,40 @@
        });
 }
 
+void readBook(Edge &edge) {
+  edge.BookBusy = true;
+  call(edge, adapter::itemCall(storeAddress(edge), BookKey),
+       [&edge](int status, const std::string &body) {
+         edge.BookBusy = false;
+         const auto item = status == 200 ? adapter::readItem(body) : std::nullopt;
+         if (item)
+           duty::merge(edge.Usage, adapter::decodeReport(item->Value));
+         edge.BookKnown = item.has_value() || status == adapter::NotFoundStatus;
+       });
+}
+
+/// Leaves the counts of all nodes in the store for a later holder. Losing a write costs nothing but
+/// their freshness.
+void writeBook(Edge &edge, const Now &now) {
+  if (edge.BookBusy || now.Steady < edge.NextBookWrite)
+    return;
+  edge.NextBookWrite = now.Steady + BookPeriod;
+  const message::UsageReport report = duty::reportOf(edge.Usage);
+  if (report.Counts.empty())
+    return;
+  edge.BookBusy = true;
+  adapter::ConditionalWrite write;
+  write.Conditions = {{HolderKey, edge.Lease.Token}};
+  write.Key = BookKey;
+  write.Value = adapter::encodeReport(report);
+  call(edge, adapter::writeCall(storeAddress(edge), write),
+       [&edge](int status, const std::string &) {
+         edge.BookBusy = false;
+         if (status != 200)
+           count(edge.Counters, "store_failed", "counts");
+       });
+}
+
 std::string summary(const duty::Counts &counts) {
   std::uint64_t sum = 0;
   for (const auto &[workspace, n] : counts)
@@ -195,9 +232,16 @@
     logLine(edge, "duty", held ? "taken" : "ended", {{"token", std::to_string(edge.Lease.Token)}});
     if (held)
       duty::takeDuty(edge.Posting, edge.Usage, wall);
+    edge.BookKnown = false;
   }
   if (!held)
     return;
+  if (!edge.BookKnown) {
+    if (!edge.BookBusy)
+      readBook(edge);
+    return;
+  }
+  writeBook(edge, now);
   if (!edge.Posting.RecordKnown && !edge.Posting.Busy) {
     readRecord(edge);
     return;
--- a/packages/daemon/edge/EdgePeers.cpp
+++ b/packages/daemon/edge/EdgePeers.cpp
@@ -155,9 +155,7 @@
     net::send(*E.Peers, Address, grantTokens(E, m, role));
   }
   void operator()(const message::TokenGrant &m) const { onGrant(E, m); }
-  void operator()(const message::UsageReport &m) const {
-    duty::merge(E.Usage, From.Name + "/" + std::to_string(From.Incarnation), m);
-  }
+  void operator()(const message::UsageReport &m) const { duty::merge(E.Usage, m); }
   void operator()(const message::BackendNews &m) const {
     Edge &edge = E;
     handle(E, [&edge, m](relay::Effects &out, const Now &now) {
--- /dev/null
+++ b/packages/daemon/edge/PlatformStandIn.h
@@ -0,0 +1,111 @@
+// A stand-in of the users' platform for tests of a whole node: a store that answers ranges, and
+// backend servers that speak its protocol. Everything runs on the node's own loop. Tests only.
+#ifndef CHERVIL_DAEMON_EDGE_PLATFORMSTANDIN_H
+#define CHERVIL_DAEMON_EDGE_PLATFORMSTANDIN_H
+
+#include "http/Server.h"
+#include "platform/JsonFields.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace chervil::daemon::test {
+
+using adapter::Json;
+
+/// The store: items by key; reads in one page. A watch is answered at once when there is news, and
+/// otherwise after a short time.
+struct StoreStandIn {
+  net::TimerService *Timers = nullptr;
+  http::ServerPtr Server;
+  std::map<std::string, std::pair<std::string, std::uint64_t>> Items;
+  std::uint64_t Revision = 1;
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(http::port(*Server)); }
+
+  void put(const std::string &key, const Json &value) { Items[key] = {value.dump(), ++Revision}; }
+  void remove(const std::string &key) {
+    Items.erase(key);
+    ++Revision;
+  }
+
+  Json itemsFrom(const std::string &prefix, std::uint64_t after) const {
+    Json out = Json::array();
+    for (const auto &[key, item] : Items)
+      if (key.starts_with(prefix) && item.second > after)
+        out.push_back({{"key", key},
+                       {"value", adapter::encodeBase64(item.first)},
+                       {"revision", item.second},
+                       {"created", item.second},
+                       {"lease", 0}});
+    return out;
+  }
+
+  void answer(std::uint64_t id, const Json &body) {
+    http::respond(*Server, id, {.Status = 200, .Body = body.dump()});
+  }
+
+  void onRequest(const http::Request &r) {
+    const std::string prefix = http::queryValue(r.Head.Target, "path-prefix");
+    const std::string_view path = http::pathOf(r.Head.Target);
+    if (path == "/kv-range") {
+      answer(r.Id, {{"items", itemsFrom(prefix, 0)}, {"has-more", false}, {"as-of", Revision}});
+    } else if (path == "/kv-watch") {
+      const auto after = std::stoull(http::queryValue(r.Head.Target, "after"));
+      net::after(*Timers, std::chrono::milliseconds(30), [this, id = r.Id, prefix, after] {
+        answer(id, {{"events", itemsFrom(prefix, after)}, {"as-of", Revision}});
+      });
+    } else {
+      http::respond(*Server, r.Id, {.Status = 503});
+    }
+  }
+
+  void start(net::Loop &loop, net::TimerService &timers) {
+    Timers = &timers;
+    Server =
+        std::move(*http::startServer(loop, timers, {.Address = "127.0.0.1:0"},
+                                     {.OnRequest = [this](http::Request &&r) { onRequest(r); }}));
+  }
+};
+
+/// One backend server. `Behave` may answer a request itself and return true.
+struct BackendStandIn {
+  std::string Id;
+  http::ServerPtr Server;
+  std::vector<http::Request> Ran;
+  std::size_t Gone = 0;
+  std::function<bool(const http::Request &)> Behave;
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(http::port(*Server)); }
+
+  http::Fields marks(const http::Request &r) const {
+    const std::string *attempt = http::find(r.Head.Fields, "Attempt-Id");
+    return {{"Attempt-Id", attempt == nullptr ? "" : *attempt}, {"Server-Stamp", "stamp-" + Id}};
+  }
+
+  void onRequest(http::Request &&r) {
+    const std::string *expected = http::find(r.Head.Fields, "Expect-Instance");
+    if (expected == nullptr || *expected != Id) {
+      http::respond(*Server, r.Id, {.Status = 421});
+      return;
+    }
+    Ran.push_back(r);
+    if (Behave && Behave(r))
+      return;
+    http::respond(*Server, r.Id, {.Status = 200, .Fields = marks(r), .Body = "from " + Id});
+  }
+
+  void start(net::Loop &loop, net::TimerService &timers) {
+    Server = std::move(
+        *http::startServer(loop, timers, {.Address = "127.0.0.1:0"},
+                           {.OnRequest = [this](http::Request &&r) { onRequest(std::move(r)); },
+                            .OnGone = [this](std::uint64_t) { ++Gone; }}));
+  }
+};
+
+} // namespace chervil::daemon::test
+
+#endif
--- a/packages/duty/TrueClock.cpp
+++ b/packages/duty/TrueClock.cpp
@@ -8,13 +8,10 @@
   const WallTime base = now.Wall - steady;
   if (!clock.Base)
     clock.Base = base;
-  const auto difference = std::chrono::abs(base - *clock.Base);
-  if (difference <= JumpSize) {
-    clock.Base = base;
-    clock.JumpedAt.reset();
-  } else if (!clock.JumpedAt) {
+  const bool jumped = std::chrono::abs(base - *clock.Base) > JumpSize;
+  if (jumped && !clock.JumpedAt)
     clock.JumpedAt = now.Steady;
-  } else if (now.Steady - *clock.JumpedAt > JumpTime) {
+  if (!jumped || now.Steady - *clock.JumpedAt > JumpTime) {
     clock.Base = base;
     clock.JumpedAt.reset();
   }
--- a/packages/duty/UsageBook.cpp
+++ b/packages/duty/UsageBook.cpp
@@ -21,13 +21,22 @@
   for (const auto &[window, nodes] : book.Windows)
     if (const auto it = nodes.find(self); it != nodes.end())
       for (const auto &[workspace, n] : it->second)
-        out.Counts.push_back({window, workspace, n});
+        out.Counts.push_back({self, window, workspace, n});
   return out;
 }
 
-void merge(UsageBook &book, const std::string &node, const message::UsageReport &report) {
+message::UsageReport reportOf(const UsageBook &book) {
+  message::UsageReport out;
+  for (const auto &[window, nodes] : book.Windows)
+    for (const auto &[node, counts] : nodes)
+      for (const auto &[workspace, n] : counts)
+        out.Counts.push_back({node, window, workspace, n});
+  return out;
+}
+
+void merge(UsageBook &book, const message::UsageReport &report) {
   for (const message::UsageCount &it : report.Counts) {
-    std::uint64_t &n = book.Windows[it.Window][node][it.Workspace];
+    std::uint64_t &n = book.Windows[it.Window][it.Node][it.Workspace];
     n = std::max(n, it.Requests);
   }
 }
--- a/packages/duty/UsageBook.h
+++ b/packages/duty/UsageBook.h
@@ -1,6 +1,6 @@
 // Requests that began on backend servers, by window of the wall clock and workspace. Use:
 //   began(book, self, "workspace", now.Wall);
-//   merge(book, peer, report);
+//   merge(book, report);
 //   counts = totals(book, window);
 #ifndef CHERVIL_DUTY_USAGEBOOK_H
 #define CHERVIL_DUTY_USAGEBOOK_H
@@ -36,8 +36,11 @@
 /// What this node counted in the kept windows.
 message::UsageReport reportOf(const UsageBook &book, const std::string &self);
 
+/// All that is known of all nodes, for a later holder of the duty.
+message::UsageReport reportOf(const UsageBook &book);
+
 /// Takes the larger of each count, so that repeated and reordered reports do no harm.
-void merge(UsageBook &book, const std::string &node, const message::UsageReport &report);
+void merge(UsageBook &book, const message::UsageReport &report);
 
 /// Sum over all nodes.
 Counts totals(const UsageBook &book, std::uint64_t window);
--- a/packages/duty/UsagePosting.cpp
+++ b/packages/duty/UsagePosting.cpp
@@ -7,6 +7,7 @@
 void takeDuty(UsagePosting &posting, const UsageBook &book, WallTime now) {
   const std::uint64_t present = windowAt(book, now);
   posting.First = present > KeptWindows / 2 ? present - KeptWindows / 2 : 0;
+  posting.Taken = now;
   posting.Posted = false;
   posting.Busy = false;
   posting.RecordKnown = false;
@@ -31,7 +32,7 @@
   }
   const std::uint64_t next =
       posting.Record ? std::max(posting.Record->Window + 1, posting.First) : posting.First;
-  if (now < endOf(book, next) + posting.Delay)
+  if (now < endOf(book, next) + posting.Delay || now < posting.Taken + TakeOverTime)
     return std::nullopt;
   posting.Busy = true;
   return UsageStep{UsageStep::Kind::Record, next, totals(book, next), posting.Revision};
--- a/packages/duty/UsagePosting.h
+++ b/packages/duty/UsagePosting.h
@@ -40,11 +40,16 @@
   bool RecordKnown = false;
   /// The recorded window has been accepted.
   bool Posted = false;
+  /// When this node took the duty.
+  WallTime Taken{};
   /// First window that this holder may record if there is no record.
   std::uint64_t First = 0;
   bool Busy = false;
 };
 
+/// Time after taking the duty in which the other nodes report what they counted.
+inline constexpr std::chrono::milliseconds TakeOverTime{1500};
+
 /// This node takes the duty at `now`.
 void takeDuty(UsagePosting &posting, const UsageBook &book, WallTime now);
 
--- a/packages/duty/UsageTest.cpp
+++ b/packages/duty/UsageTest.cpp
@@ -19,7 +19,7 @@
   began(node, "a", "w", WallTime(102s));
   const auto second = reportOf(node, "a");
   for (const auto &it : {second, first, second})
-    merge(holder, "a", it);
+    merge(holder, it);
   began(holder, "b", "w", WallTime(103s));
   BOOST_TEST(totals(holder, 20).at("w") == 3U);
   BOOST_TEST(totals(holder, 21).empty());
@@ -27,6 +27,24 @@
   BOOST_TEST(holder.Windows.empty());
 }
 
+// Guards against a holder that posts before the other nodes reported to it: seen as a window that
+// lacked 223 of 242 requests after a change of the holder.
+BOOST_AUTO_TEST_CASE(NewHolderWaitsForReports) {
+  UsageBook book;
+  UsagePosting posting;
+  takeDuty(posting, book, WallTime(108s));
+  onRecordSeen(posting, UsageRecord{20, {}}, 1);
+  const auto repeated = nextStep(posting, book, WallTime(108s));
+  BOOST_REQUIRE(repeated.has_value());
+  onPosted(posting);
+  BOOST_TEST(!nextStep(posting, book, WallTime(108s) + TakeOverTime / 2).has_value());
+  began(book, "other", "w", WallTime(106s));
+  const auto step = nextStep(posting, book, WallTime(113s));
+  BOOST_REQUIRE(step.has_value());
+  BOOST_TEST(step->Window == 21U);
+  BOOST_TEST(step->Counts.at("w") == 1U);
+}
+
 // Guards against two reports of one window with different counts, whoever holds the duty and
 // whatever answers are lost, and against windows that are never reported.
 BOOST_AUTO_TEST_CASE(EachWindowIsPostedWithOneSetOfCounts) {
--- a/packages/http/Server.cpp
+++ b/packages/http/Server.cpp
@@ -297,12 +297,11 @@
   for (const auto &[c, owner] : server.Connections) {
     const Duration age = at - c->Since;
     const bool readsHead = c->State == Phase::Reading && c->Reader->State == ReadState::Head;
+    const bool waits = c->State == Phase::Idle || c->State == Phase::Reading;
     if (readsHead && at - c->Started > server.Options.Limits.HeaderTimeout)
       slow.push_back(c);
-    else if ((c->State == Phase::Idle || c->State == Phase::Reading) &&
-             age > server.Options.Limits.IdleTimeout)
-      late.push_back(c);
-    else if (c->State == Phase::Lingering && age > LingerTime)
+    else if ((waits && age > server.Options.Limits.IdleTimeout) ||
+             (c->State == Phase::Lingering && age > LingerTime))
       late.push_back(c);
   }
   for (Connection *c : late)
--- a/packages/limits/TokenTest.cpp
+++ b/packages/limits/TokenTest.cpp
@@ -71,7 +71,7 @@
   for (int i = 0; i < 10'000; ++i) {
     now.Steady += 100us;
     if (i % 10 == 0 && !take(account, 10, now))
-      wait(account, static_cast<std::uint64_t>(i + 1), 10);
+      wait(account, static_cast<std::uint64_t>(i) + 1, 10);
     if (const auto amount = amountToClaim(account, now)) {
       onClaimed(account, ++claims, *amount, now);
       (void)onGranted(account, claims, 0, now);
--- a/packages/message/UsageReport.h
+++ b/packages/message/UsageReport.h
@@ -10,6 +10,8 @@
 namespace chervil::message {
 
 struct UsageCount {
+  /// Node that counted, with its start.
+  std::string Node;
   std::uint64_t Window = 0;
   std::string Workspace;
   std::uint64_t Requests = 0;
--- a/packages/net/Loop.cpp
+++ b/packages/net/Loop.cpp
@@ -11,6 +11,11 @@
     throw std::runtime_error("cannot create an event loop");
 }
 
+Loop::~Loop() {
+  for (auto &it : Signals)
+    ev_signal_stop(Raw.get(), &it->Watcher);
+}
+
 void run(Loop &loop) { ev_run(loop.Raw.get(), 0); }
 
 void stop(Loop &loop) { ev_break(loop.Raw.get(), EVBREAK_ALL); }
--- a/packages/net/Loop.h
+++ b/packages/net/Loop.h
@@ -27,6 +27,10 @@
 /// Owns a libev loop. Everything attached to it must be destroyed before it.
 struct Loop {
   Loop();
+  /// Detaches the signals, which another loop may then handle.
+  ~Loop();
+  Loop(const Loop &) = delete;
+  Loop &operator=(const Loop &) = delete;
 
   std::unique_ptr<struct ev_loop, detail::LoopDeleter> Raw;
   std::vector<std::unique_ptr<detail::SignalWatcher>> Signals;
--- a/packages/wire/detail/Fields.h
+++ b/packages/wire/detail/Fields.h
@@ -127,7 +127,7 @@
   return std::tie(m.Workspace, m.Seq, m.Granted, m.RestAfter);
 }
 template <Is<message::UsageCount> M> auto fields(M &m) {
-  return std::tie(m.Window, m.Workspace, m.Requests);
+  return std::tie(m.Node, m.Window, m.Workspace, m.Requests);
 }
 template <Is<message::UsageReport> M> auto fields(M &m) { return std::tie(m.Counts); }
 template <Is<message::BackendListRequest> M> auto fields(M &m) { return std::tie(m.Revision); }
