--- a/packages/daemon/edge/EdgePeers.cpp
+++ b/packages/daemon/edge/EdgePeers.cpp
@@ -213,6 +213,8 @@
     live += membership::isLeaving(*it) ? 0 : 1;
     healthy += it->Info.State != message::MemberState::Suspect ? 1 : 0;
   }
+  if (edge.Relay.LiveNodes != std::max<std::size_t>(1, live))
+    edge.Home.Since = now.Steady;
   edge.Relay.LiveNodes = std::max<std::size_t>(1, live);
   edge.HealthyNodes = std::max<std::size_t>(1, healthy);
   // A node that starts while it is cut off knows of the others only by its seeds.
--- a/packages/limits/TokenHome.cpp
+++ b/packages/limits/TokenHome.cpp
@@ -6,6 +6,9 @@
 namespace chervil::limits {
 namespace {
 
+// Time for which a bucket that nobody claimed from is filled at most; bursts are shorter.
+constexpr Duration MaxHistory = std::chrono::minutes(1);
+
 double secondsOf(Duration d) { return std::chrono::duration<double>(d).count(); }
 
 } // namespace
@@ -25,7 +28,8 @@
   const double rate = limit.Rate * part;
   const double burst = std::max(limit.Burst, limit.Rate) * part;
   const auto [it, fresh] = home.Buckets.try_emplace(
-      {role, claim.Workspace}, TokenBucket{burst * FirstLevelPart, now.Steady});
+      {role, claim.Workspace},
+      TokenBucket{burst * FirstLevelPart, std::max(home.Since, now.Steady - MaxHistory)});
   TokenBucket &bucket = it->second;
   bucket.Level = std::min(burst, bucket.Level + rate * secondsOf(now.Steady - bucket.Updated));
   bucket.Updated = now.Steady;
--- a/packages/limits/TokenHome.h
+++ b/packages/limits/TokenHome.h
@@ -45,6 +45,8 @@
 };
 
 struct TokenHome {
+  /// Since when the nodes, and so the homes, have been the same.
+  TimePoint Since{};
   /// By role and workspace.
   std::map<std::pair<GrantRole, std::string>, TokenBucket> Buckets;
 };
@@ -52,7 +54,8 @@
 /// Part of a limit that is granted beside the home, which may grant the whole limit at the same
 /// time. The sum of all such parts stays below what operators tolerate as overshoot.
 inline constexpr double FallbackPart = 0.4;
-/// Level of a new bucket as a part of the burst: an earlier home may have granted a burst just now.
+/// Level of a new bucket as a part of the burst when the homes have just changed: an earlier home
+/// may have granted a burst. It fills from then on, whether or not there are claims.
 inline constexpr double FirstLevelPart = 0.2;
 
 /// Part of a limit that a node may grant. Only a home that sees most of the fleet grants all of it:
--- a/packages/limits/TokenTest.cpp
+++ b/packages/limits/TokenTest.cpp
@@ -19,6 +19,7 @@
     const TokenLimit limit{100'000, 100'000};
     const double load = *rc::gen::element(0.5, 0.9, 3.0);
     TokenHome home;
+    home.Since = TimePoint(1000s);
     std::vector<TokenAccount> accounts(nodes);
     Now now{TimePoint(1000s), WallTime(0s)};
     Random rng(*rc::gen::arbitrary<std::uint64_t>());
@@ -62,6 +63,21 @@
   }));
 }
 
+// Guards against refusals of the first requests of a day while the limit has room: seen as 429 0.15
+// s after the start of traffic; and against a burst at each change of the homes.
+BOOST_AUTO_TEST_CASE(NewBucketIsFullOnlyWhenHomesAreOld) {
+  Now now{TimePoint(1000s), WallTime(0s)};
+  const TokenLimit limit{1000, 1000};
+  TokenHome old;
+  old.Since = now.Steady - 10s;
+  BOOST_TEST(grant(old, {"w", 1, 1000, false}, GrantRole::Home, limit, {9, 9}, now).Granted ==
+             1000);
+  TokenHome fresh;
+  fresh.Since = now.Steady;
+  BOOST_TEST(grant(fresh, {"w", 1, 1000, false}, GrantRole::Home, limit, {9, 9}, now).Granted ==
+             FirstLevelPart * 1000);
+}
+
 // Guards against claims that follow each other as fast as they are answered while a limit is
 // exhausted: seen as nodes that stood still for 1.5 s.
 BOOST_AUTO_TEST_CASE(ExhaustedLimitIsClaimedAtAPace) {
@@ -102,8 +118,9 @@
 // limit while 3 of 7 nodes were cut off.
 BOOST_AUTO_TEST_CASE(NodesThatAreCutOffGrantAPart) {
   const auto granted = [](GrantRole role, FleetView view) {
-    TokenHome home;
     Now now{TimePoint(1000s), WallTime(0s)};
+    TokenHome home;
+    home.Since = now.Steady;
     double sum = 0;
     for (int i = 0; i < 80; ++i) {
       now.Steady += 100ms;
