--- /dev/null
+++ b/packages/daemon/edge/DutyDetail.h
@@ -0,0 +1,37 @@
+// What the files about duties share. Internal to the daemon.
+#ifndef CHERVIL_DAEMON_EDGE_DUTYDETAIL_H
+#define CHERVIL_DAEMON_EDGE_DUTYDETAIL_H
+
+#include "daemon/edge/EdgeDetail.h"
+
+#include "platform/DutyCalls.h"
+#include "platform/StoreCalls.h"
+
+#include <functional>
+#include <string>
+
+namespace chervil::daemon::detail {
+
+// Own keys in the store; OwnItems mirrors their prefix.
+inline constexpr const char *HolderKey = "chervil/duty/holder";
+inline constexpr const char *RecordKey = "chervil/duty/usage";
+inline constexpr const char *BookKey = "chervil/duty/counts";
+
+using OnResult = std::function<void(int status, const std::string &body)>;
+
+/// Calls the platform and collects the answer; status 0 stands for none.
+void callPlatform(Edge &edge, http::Call what, OnResult onResult);
+
+/// This node as the holder of the duty.
+adapter::DutyHolder holderOf(const Edge &edge);
+
+/// Reports usage while this node holds the duty (EdgeUsage.cpp).
+void tickUsage(Edge &edge);
+
+/// Orders backend servers while this node holds the duty and knows which there are
+/// (EdgeOrders.cpp).
+void tickOrders(Edge &edge);
+
+} // namespace chervil::daemon::detail
+
+#endif
--- /dev/null
+++ b/packages/daemon/edge/EdgeOrders.cpp
@@ -0,0 +1,76 @@
+// Orders of backend servers by the holder of the duty.
+#include "daemon/edge/DutyDetail.h"
+
+namespace chervil::daemon::detail {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration OrderPeriod = 500ms;
+
+fleet::ZoneTerms termsOf(const relay::ScalingTerms &scaling, const EdgeSection &settings) {
+  return {.Min = scaling.Min,
+          .Max = scaling.Max,
+          .ReclaimablePrice = scaling.ReclaimablePrice,
+          .BootTime = scaling.BootTime,
+          .Prices = scaling.Prices,
+          .ReclaimablePart = settings.ReclaimablePercent / 100.0,
+          .NeededPart = settings.NeededPercent / 100.0};
+}
+
+std::map<std::string, fleet::ZoneCount> serversOf(const Edge &edge, const std::string &service) {
+  std::map<std::string, fleet::ZoneCount> out;
+  for (const auto &[id, it] : edge.Relay.Servers.Servers) {
+    if (it.Leaving || it.Entry.Service != service)
+      continue;
+    fleet::ZoneCount &count = out[it.Entry.DataCentre];
+    ++(it.Entry.Reclaimable ? count.Reclaimable : count.OnDemand);
+  }
+  return out;
+}
+
+fleet::OrderResult resultOf(int status) {
+  if (status == 200)
+    return fleet::OrderResult::Accepted;
+  return status == 0 ? fleet::OrderResult::Unknown : fleet::OrderResult::Refused;
+}
+
+void order(Edge &edge, const std::string &service, const fleet::ZoneOrder &what) {
+  const adapter::ServerOrder order{service, what.DataCentre, what.Reclaimable, what.Count};
+  callPlatform(edge, adapter::orderCall(edge.Settings.Edge.DutyAddress, holderOf(edge), order),
+               [&edge, service, what](int status, const std::string &) {
+                 logLine(edge, "duty", "servers_ordered",
+                         {{"service", service},
+                          {"data_centre", what.DataCentre},
+                          {"reclaimable", what.Reclaimable ? "true" : "false"},
+                          {"count", std::to_string(what.Count)},
+                          {"token", std::to_string(edge.Lease.Token)},
+                          {"status", std::to_string(status)}});
+                 fleet::onOrderResult(edge.Orders[service], what, resultOf(status), net::readNow());
+               });
+}
+
+} // namespace
+
+void tickOrders(Edge &edge) {
+  const Now now = net::readNow();
+  if (!duty::isHeld(edge.Lease, now)) {
+    edge.Orders.clear();
+    return;
+  }
+  if (now.Steady < edge.NextOrders || edge.Relay.Config == nullptr ||
+      !inContact(edge.ServerItems, now) || !store::isComplete(edge.ServerItems))
+    return;
+  edge.NextOrders = now.Steady + OrderPeriod;
+  for (const auto &[name, service] : edge.Relay.Config->Services) {
+    if (!service.Scaling)
+      continue;
+    const auto orders =
+        fleet::plan(edge.Orders[name], termsOf(*service.Scaling, edge.Settings.Edge),
+                    serversOf(edge, name), now);
+    for (const fleet::ZoneOrder &it : orders)
+      order(edge, name, it);
+  }
+}
+
+} // namespace chervil::daemon::detail
--- a/packages/daemon/edge/EdgeTest.cpp
+++ b/packages/daemon/edge/EdgeTest.cpp
@@ -2,15 +2,16 @@
 // protocol.
 #include "daemon/edge/Edge.h"
 
-#include "daemon/edge/PlatformStandIn.h"
 #include "http/TestNet.h"
+#include "platform/testing/PlatformStandIn.h"
 #include "settings/ParseNodeSettings.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace chervil;
 using namespace chervil::daemon;
-using namespace chervil::daemon::test;
+using namespace chervil::adapter::test;
+using chervil::adapter::Json;
 using namespace std::chrono_literals;
 
 namespace {
--- /dev/null
+++ b/packages/daemon/edge/EdgeUsage.cpp
@@ -0,0 +1,136 @@
+// Usage reports of the holder of the duty.
+#include "daemon/edge/DutyDetail.h"
+
+namespace chervil::daemon::detail {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Counts of nodes that end with the holder survive it in the store, up to this age.
+constexpr Duration BookPeriod = 1s;
+
+void readRecord(Edge &edge) {
+  edge.Posting.Busy = true;
+  callPlatform(edge, adapter::itemCall(edge.Settings.Edge.StoreAddress, RecordKey),
+               [&edge](int status, const std::string &body) {
+                 edge.Posting.Busy = false;
+                 if (status == adapter::NotFoundStatus) {
+                   duty::onRecordSeen(edge.Posting, std::nullopt, 0);
+                   return;
+                 }
+                 const auto item = status == 200 ? adapter::readItem(body) : std::nullopt;
+                 if (!item)
+                   return;
+                 duty::onRecordSeen(edge.Posting, adapter::decodeRecord(item->Value),
+                                    item->Revision);
+               });
+}
+
+void readBook(Edge &edge) {
+  edge.BookBusy = true;
+  callPlatform(edge, adapter::itemCall(edge.Settings.Edge.StoreAddress, BookKey),
+               [&edge](int status, const std::string &body) {
+                 edge.BookBusy = false;
+                 const auto item = status == 200 ? adapter::readItem(body) : std::nullopt;
+                 if (item)
+                   duty::merge(edge.Usage, adapter::decodeReport(item->Value));
+                 edge.BookKnown = item.has_value() || status == adapter::NotFoundStatus;
+               });
+}
+
+/// Leaves the counts of all nodes in the store for a later holder. Losing a write costs nothing but
+/// their freshness.
+void writeBook(Edge &edge, const Now &now) {
+  if (edge.BookBusy || now.Steady < edge.NextBookWrite)
+    return;
+  edge.NextBookWrite = now.Steady + BookPeriod;
+  const message::UsageReport report = duty::reportOf(edge.Usage);
+  if (report.Counts.empty())
+    return;
+  edge.BookBusy = true;
+  adapter::ConditionalWrite write;
+  write.Conditions = {{HolderKey, edge.Lease.Token}};
+  write.Key = BookKey;
+  write.Value = adapter::encodeReport(report);
+  callPlatform(edge, adapter::writeCall(edge.Settings.Edge.StoreAddress, write),
+               [&edge](int status, const std::string &) {
+                 edge.BookBusy = false;
+                 if (status != 200)
+                   count(edge.Counters, "store_failed", "counts");
+               });
+}
+
+std::string summary(const duty::Counts &counts) {
+  std::uint64_t sum = 0;
+  for (const auto &[workspace, n] : counts)
+    sum += n;
+  return std::to_string(sum);
+}
+
+void post(Edge &edge, const duty::UsageStep &step) {
+  call(edge,
+       adapter::usageCall(edge.Settings.Edge.DutyAddress, holderOf(edge), step.Window, step.Counts),
+       [&edge, step](int status, const std::string &) {
+         logLine(edge, "duty", "usage_posted",
+                 {{"window", std::to_string(step.Window)},
+                  {"requests", summary(step.Counts)},
+                  {"token", std::to_string(edge.Lease.Token)},
+                  {"status", std::to_string(status)}});
+         if (status == 200)
+           duty::onPosted(edge.Posting);
+         else
+           duty::onStepFailed(edge.Posting, step);
+       });
+}
+
+void record(Edge &edge, const duty::UsageStep &step) {
+  adapter::ConditionalWrite write;
+  write.Conditions = {{HolderKey, edge.Lease.Token}, {RecordKey, step.IfRevision}};
+  write.Key = RecordKey;
+  write.Value = adapter::encodeRecord({step.Window, step.Counts});
+  callPlatform(edge, adapter::writeCall(edge.Settings.Edge.StoreAddress, write),
+               [&edge, step](int status, const std::string &body) {
+                 const auto revision = status == 200 ? adapter::readRevision(body) : std::nullopt;
+                 if (revision)
+                   duty::onRecorded(edge.Posting, step, *revision);
+                 else
+                   duty::onStepFailed(edge.Posting, step);
+                 tickDuty(edge);
+               });
+}
+
+} // namespace
+
+void tickUsage(Edge &edge) {
+  const Now now = net::readNow();
+  const WallTime wall = duty::trueTime(edge.Clock, now);
+  const bool held = duty::isHeld(edge.Lease, now);
+  if (held != edge.ActsAsHolder) {
+    edge.ActsAsHolder = held;
+    logLine(edge, "duty", held ? "taken" : "ended", {{"token", std::to_string(edge.Lease.Token)}});
+    if (held)
+      duty::takeDuty(edge.Posting, edge.Usage, wall);
+    edge.BookKnown = false;
+  }
+  if (!held)
+    return;
+  if (!edge.BookKnown) {
+    if (!edge.BookBusy)
+      readBook(edge);
+    return;
+  }
+  writeBook(edge, now);
+  if (!edge.Posting.RecordKnown && !edge.Posting.Busy) {
+    readRecord(edge);
+    return;
+  }
+  const auto step = duty::nextStep(edge.Posting, edge.Usage, wall);
+  if (!step)
+    return;
+  if (step->What == duty::UsageStep::Kind::Post)
+    post(edge, *step);
+  else
+    record(edge, *step);
+}
+
+} // namespace chervil::daemon::detail
