--- a/packages/daemon/edge/DutyDetail.h
+++ b/packages/daemon/edge/DutyDetail.h
@@ -12,10 +12,11 @@
 
 namespace chervil::daemon::detail {
 
-// Own keys in the store; OwnItems mirrors their prefix.
+// Own keys in the store. OwnItems mirrors the prefix of the first only: a watch returns at each
+// change, and the others change every second.
 inline constexpr const char *HolderKey = "chervil/duty/holder";
-inline constexpr const char *RecordKey = "chervil/duty/usage";
-inline constexpr const char *BookKey = "chervil/duty/counts";
+inline constexpr const char *RecordKey = "chervil/usage/last";
+inline constexpr const char *BookKey = "chervil/usage/counts";
 
 using OnResult = std::function<void(int status, const std::string &body)>;
 
--- a/packages/daemon/edge/Edge.cpp
+++ b/packages/daemon/edge/Edge.cpp
@@ -165,7 +165,7 @@
   OperatorItems = store::makeMirror({.Prefix = adapter::OperatorPrefix});
   ServerItems =
       store::makeMirror({.Prefix = adapter::BackendPrefix, .PollPeriod = ServerPollPeriod});
-  OwnItems = store::makeMirror({.Prefix = "chervil/"});
+  OwnItems = store::makeMirror({.Prefix = "chervil/duty/"});
   for (const std::string &it : Settings.Node.Seeds)
     OtherSeeds += it == Settings.Node.PeerAdvertise ? 0 : 1;
   KnownNodes = 2 * OtherSeeds + 1;
--- a/packages/daemon/edge/EdgeUsage.cpp
+++ b/packages/daemon/edge/EdgeUsage.cpp
@@ -68,19 +68,20 @@
 }
 
 void post(Edge &edge, const duty::UsageStep &step) {
-  call(edge,
-       adapter::usageCall(edge.Settings.Edge.DutyAddress, holderOf(edge), step.Window, step.Counts),
-       [&edge, step](int status, const std::string &) {
-         logLine(edge, "duty", "usage_posted",
-                 {{"window", std::to_string(step.Window)},
-                  {"requests", summary(step.Counts)},
-                  {"token", std::to_string(edge.Lease.Token)},
-                  {"status", std::to_string(status)}});
-         if (status == 200)
-           duty::onPosted(edge.Posting);
-         else
-           duty::onStepFailed(edge.Posting, step);
-       });
+  callPlatform(
+      edge,
+      adapter::usageCall(edge.Settings.Edge.DutyAddress, holderOf(edge), step.Window, step.Counts),
+      [&edge, step](int status, const std::string &) {
+        logLine(edge, "duty", "usage_posted",
+                {{"window", std::to_string(step.Window)},
+                 {"requests", summary(step.Counts)},
+                 {"token", std::to_string(edge.Lease.Token)},
+                 {"status", std::to_string(status)}});
+        if (status == 200)
+          duty::onPosted(edge.Posting);
+        else
+          duty::onStepFailed(edge.Posting, step);
+      });
 }
 
 void record(Edge &edge, const duty::UsageStep &step) {
