daemon, relay: one copy of a node's identity and options; no second parse per send

Cause: selfOf() and the membership options stood in both forms of the node; each send parsed the request and hashed its body again for the id of the attempt; Backend::Since was set and never read. Ruled out: a change of behaviour; the assertions of tests are untouched. Change: both functions live in NodeOptions, the effect carries the id of the attempt, the unused member is gone. Conclusion: behaviour is the same.

--- a/packages/daemon/Daemon.cpp
+++ b/packages/daemon/Daemon.cpp
@@ -42,16 +42,6 @@
                    static_cast<std::uint64_t>(now.Wall.time_since_epoch().count()));
 }
 
-message::MemberUpdate selfOf(const NodeSettings &settings, const Now &now) {
-  message::MemberUpdate self;
-  self.Id = {settings.Node.Name, static_cast<std::uint64_t>(now.Wall.time_since_epoch().count())};
-  self.Region = settings.Node.Region;
-  self.DataCentre = settings.Node.DataCentre;
-  self.PeerAddress = settings.Node.PeerAdvertise;
-  self.CallerAddress = settings.Node.CallerAdvertise;
-  return self;
-}
-
 /// Carries out one effect.
 struct Outward {
   Daemon &D;
--- a/packages/daemon/NodeOptions.cpp
+++ b/packages/daemon/NodeOptions.cpp
@@ -14,10 +14,7 @@
   options.Node.ProgressBytes = settings.Requests.ProgressBytes;
   options.Node.ServiceTimeout = settings.Requests.ServiceTimeout;
   options.Node.DrainTime = settings.Requests.DrainTime;
-  options.Membership.ProbePeriod = settings.Membership.ProbePeriod;
-  options.Membership.ProbeTimeout = settings.Membership.ProbeTimeout;
-  options.Membership.SuspicionTime = settings.Membership.Suspicion;
-  options.Membership.PushPeriod = settings.Membership.PushPeriod;
+  options.Membership = membershipOptions(settings);
   options.Record.RetryHorizon = settings.Requests.RetryHorizon;
   options.Record.ClockMargin = settings.Requests.ClockMargin;
   options.Record.AnswerBudget = settings.Requests.AnswerBudget;
@@ -28,4 +25,23 @@
   return options;
 }
 
+membership::Options membershipOptions(const NodeSettings &settings) {
+  membership::Options options;
+  options.ProbePeriod = settings.Membership.ProbePeriod;
+  options.ProbeTimeout = settings.Membership.ProbeTimeout;
+  options.SuspicionTime = settings.Membership.Suspicion;
+  options.PushPeriod = settings.Membership.PushPeriod;
+  return options;
+}
+
+message::MemberUpdate selfOf(const NodeSettings &settings, const Now &now) {
+  message::MemberUpdate self;
+  self.Id = {settings.Node.Name, static_cast<std::uint64_t>(now.Wall.time_since_epoch().count())};
+  self.Region = settings.Node.Region;
+  self.DataCentre = settings.Node.DataCentre;
+  self.PeerAddress = settings.Node.PeerAdvertise;
+  self.CallerAddress = settings.Node.CallerAdvertise;
+  return self;
+}
+
 } // namespace chervil::daemon
--- a/packages/daemon/NodeOptions.h
+++ b/packages/daemon/NodeOptions.h
@@ -9,6 +9,11 @@
 
 node::PartOptions nodeOptions(const NodeSettings &settings);
 
+membership::Options membershipOptions(const NodeSettings &settings);
+
+/// This node as its peers know it; `now` is its start.
+message::MemberUpdate selfOf(const NodeSettings &settings, const Now &now);
+
 } // namespace chervil::daemon
 
 #endif
--- a/packages/daemon/edge/Edge.cpp
+++ b/packages/daemon/edge/Edge.cpp
@@ -1,6 +1,7 @@
 #include "daemon/edge/Edge.h"
 
 #include "base/Hash.h"
+#include "daemon/NodeOptions.h"
 #include "daemon/ProcessUsage.h"
 #include "daemon/edge/EdgeDetail.h"
 #include "duty/Holder.h"
@@ -36,16 +37,6 @@
   return static_cast<std::uint64_t>(now.Wall.time_since_epoch().count());
 }
 
-message::MemberUpdate selfOf(const NodeSettings &settings, const Now &now) {
-  message::MemberUpdate self;
-  self.Id = {settings.Node.Name, wallMs(now)};
-  self.Region = settings.Node.Region;
-  self.DataCentre = settings.Node.DataCentre;
-  self.PeerAddress = settings.Node.PeerAdvertise;
-  self.CallerAddress = settings.Node.CallerAdvertise;
-  return self;
-}
-
 relay::Options relayOptions(const NodeSettings &settings) {
   relay::Options options;
   options.Node = settings.Node.Name;
@@ -56,15 +47,6 @@
   return options;
 }
 
-membership::Options membershipOptions(const NodeSettings &settings) {
-  membership::Options options;
-  options.ProbePeriod = settings.Membership.ProbePeriod;
-  options.ProbeTimeout = settings.Membership.ProbeTimeout;
-  options.SuspicionTime = settings.Membership.Suspicion;
-  options.PushPeriod = settings.Membership.PushPeriod;
-  return options;
-}
-
 std::string readText(const std::string &path) {
   std::ifstream in(path);
   std::stringstream text;
--- a/packages/daemon/edge/EdgeEffects.cpp
+++ b/packages/daemon/edge/EdgeEffects.cpp
@@ -61,10 +61,9 @@
       return;
     http::Call call = adapter::backendCall(request->second, e);
     call.ConnectTimeout = BackendConnectTimeout;
-    const std::string attempt = adapter::readRequest(request->second).AttemptId;
     E.Calls[e.Call] = {0, e.Request, {}};
     E.Calls[e.Call].HttpCall =
-        http::startCall(*E.Backends, std::move(call), eventsOf(E, e.Call, attempt));
+        http::startCall(*E.Backends, std::move(call), eventsOf(E, e.Call, e.AttemptId));
   }
   void operator()(const relay::CancelBackend &e) const {
     const auto it = E.Calls.find(e.Call);
--- a/packages/relay/Backends.cpp
+++ b/packages/relay/Backends.cpp
@@ -165,7 +165,6 @@
       const unsigned inflight = it.Inflight;
       it = {};
       it.Inflight = inflight;
-      it.Since = now.Steady;
       backends.LeavingNews.erase(entry.Id);
     }
     it.Missing.reset();
--- a/packages/relay/Backends.h
+++ b/packages/relay/Backends.h
@@ -36,8 +36,6 @@
   /// The same of all other nodes, as far as they said so lately.
   double OthersRunning = 0;
   double OthersPending = 0;
-  /// When this node saw the server first.
-  TimePoint Since{};
   /// Failed part of the last answers, 0 to 1.
   double FailureRate = 0;
   /// Connections or answers that failed one after the other.
--- a/packages/relay/Effect.h
+++ b/packages/relay/Effect.h
@@ -23,6 +23,8 @@
 struct CallBackend {
   CallId Call = 0;
   RequestId Request = 0;
+  /// The caller's id of the attempt, which the answer bears.
+  std::string AttemptId;
   std::string Backend;
   std::string Address;
   std::string Workspace;
--- a/packages/relay/detail/Dispatch.cpp
+++ b/packages/relay/detail/Dispatch.cpp
@@ -51,6 +51,7 @@
   CallBackend call;
   call.Call = ticket.Call;
   call.Request = ticket.Id;
+  call.AttemptId = ticket.Info.AttemptId;
   call.Backend = server.Entry.Id;
   call.Address = server.Entry.Address;
   call.Workspace = ticket.Workspace;
