--- a/packages/daemon/edge/EdgeTest.cpp
+++ b/packages/daemon/edge/EdgeTest.cpp
@@ -89,7 +89,7 @@
     Store.Server.reset();
   }
 
-  void announce(const BackendStandIn &it, const char *state, std::string address = {}) {
+  void announce(const BackendStandIn &it, const char *state, const std::string &address = {}) {
     const bool model = it.Id == "m" || it.Id == "n";
     Store.put("servers/" + it.Id, {{"service", model ? "model" : "app"},
                                    {"address", address.empty() ? it.address() : address},
