relay: nodes share which backend server holds which shared part of prompts

Cause: each node knew only the servers that read a part for itself, and guessed the first in rank otherwise. Ruled out: lost memory of engines alone (0 preemptions; the parts were held elsewhere). Change: PartHolders keeps the two servers that read a part last; nodes tell each other each 0.1 s what is new; a choice counts the whole part where nobody holds it and fetches from a known holder otherwise.

--- a/packages/daemon/edge/EdgePeers.cpp
+++ b/packages/daemon/edge/EdgePeers.cpp
@@ -178,6 +178,9 @@
   void operator()(const message::BackendLoads &m) const {
     relay::applyPeerLoads(E.Relay.Servers, From.Name, m, Time);
   }
+  void operator()(const message::HeldParts &m) const {
+    relay::applyNews(E.Relay.Servers.Holders, m);
+  }
   /// Messages about records and shards, which this form of a node does not have.
   template <typename Other> void operator()(const Other &) const {
     count(E.Counters, "peer_message_ignored", "unknown");
@@ -252,6 +255,15 @@
     sendTo(edge, it, loads);
 }
 
+/// Tells all other nodes which servers have read which shared parts for this one.
+void shareParts(Edge &edge) {
+  const message::HeldParts news = relay::takeNews(edge.Relay.Servers.Holders);
+  if (news.Servers.empty())
+    return;
+  for (const NodeId &it : otherMembers(edge))
+    sendTo(edge, it, news);
+}
+
 } // namespace
 
 std::string selfKey(const Edge &edge) {
@@ -359,6 +371,7 @@
   checkClaims(edge);
   askForList(edge);
   shareLoads(edge);
+  shareParts(edge);
 }
 
 } // namespace chervil::daemon::detail
--- a/packages/message/Message.h
+++ b/packages/message/Message.h
@@ -23,6 +23,7 @@
 #include "message/FinishReply.h"
 #include "message/Handover.h"
 #include "message/HandoverReply.h"
+#include "message/HeldParts.h"
 #include "message/Mark.h"
 #include "message/MarkReply.h"
 #include "message/MemberExchange.h"
@@ -50,7 +51,7 @@
                  End, Handover, HandoverReply, StandbyReady, TableChunk, TableAck, DemandReport,
                  ShareGrant, CrashReport, BackendNews, EpochProbe, EpochConfirm, MemberExchange,
                  TokenClaim, TokenGrant, UsageReport, BackendListRequest, BackendListCopy,
-                 BackendLoads>;
+                 BackendLoads, HeldParts>;
 
 } // namespace chervil::message
 
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -103,6 +103,7 @@
   void operator()(const message::BackendListRequest &) const {}
   void operator()(const message::BackendListCopy &) const {}
   void operator()(const message::BackendLoads &) const {}
+  void operator()(const message::HeldParts &) const {}
 };
 
 void onBackendNotice(Context &ctx, const BackendNotice &notice) {
--- a/packages/relay/Backends.cpp
+++ b/packages/relay/Backends.cpp
@@ -29,8 +29,6 @@
 constexpr double SlotScale = 64;
 // Work of other nodes is forgotten after this time without news.
 constexpr Duration PeerLoadLifetime = 1s;
-// Holders remembered; about 60 bytes each.
-constexpr std::size_t MaxHolders = 50'000;
 // Servers in another data centre cost a hop of about a millisecond and traffic between data
 // centres; equal load stays local.
 constexpr double OtherDataCentreLoad = 0.3;
@@ -95,17 +93,20 @@
   return best;
 }
 
-/// The server that probably holds a shared part: the one that read it last for this node, or the
-/// one that the other nodes choose first.
-const Backend *holderOf(const Backends &backends, const std::vector<const Backend *> &candidates,
-                        std::uint64_t part) {
-  const auto known = backends.Holders.find(part);
-  if (known != backends.Holders.end()) {
-    const auto it = backends.Servers.find(known->second);
+/// A server that holds a shared part and can still be asked for it, the one that read it last
+/// first; null if none is known.
+const Backend *holderOf(const Backends &backends, std::uint64_t part) {
+  for (const std::string &id : holdersOf(backends.Holders, part)) {
+    const auto it = backends.Servers.find(id);
     if (it != backends.Servers.end() && !it->second.Missing)
       return &it->second;
   }
-  return firstInRank(candidates, part);
+  return nullptr;
+}
+
+bool holds(const Backends &backends, const Backend &server, std::uint64_t part) {
+  const auto holders = holdersOf(backends.Holders, part);
+  return std::ranges::find(holders, server.Entry.Id) != holders.end();
 }
 
 /// Prompt tokens that a server reads before the first token of new work.
@@ -115,10 +116,11 @@
 }
 
 /// The server with the least to read, the prompt's own part included. One that does not hold the
-/// shared part fetches it from the holder.
+/// shared part fetches it from a holder. A part that no node knows a holder of is read by the first
+/// in rank, which all nodes choose alike.
 Choice byPrompt(const Backends &backends, const std::vector<const Backend *> &candidates,
                 const Work &work, std::uint64_t part) {
-  const Backend *holder = holderOf(backends, candidates, part);
+  const Backend *holder = holderOf(backends, part);
   const Backend *first = firstInRank(candidates, part);
   const double own = work.Prompt.back().Tokens;
   const auto shared = static_cast<double>(sharedTokensOf(work.Prompt));
@@ -126,12 +128,13 @@
   Choice best;
   double bestCost = 0;
   for (const Backend *it : candidates) {
-    const double missing = it == holder ? 0 : it == first ? fetch / 2 : fetch;
+    const bool hasPart = holder == nullptr ? it == first : holds(backends, *it, part);
+    const double missing = hasPart ? 0 : it == first ? fetch / 2 : fetch;
     const double cost = waitingTokens(*it) + missing;
     if (best.Server != nullptr && cost >= bestCost)
       continue;
-    best = {it, own + (it == holder ? 0 : std::min(FetchWork, shared)),
-            it == holder ? nullptr : holder};
+    const double toRead = holder == nullptr ? shared : hasPart ? 0 : std::min(FetchWork, shared);
+    best = {it, own + toRead, hasPart ? nullptr : holder};
     bestCost = cost;
   }
   return best;
@@ -176,6 +179,7 @@
       const unsigned inflight = it.Inflight;
       it = {};
       it.Inflight = inflight;
+      forgetServer(backends.Holders, entry.Id);
       forgetNewsOfEarlierStart(backends, entry);
     }
     it.Missing.reset();
@@ -194,6 +198,7 @@
         leaving.push_back({it->first, server.Entry.Born});
       server.Leaving = true;
       if (server.Inflight == 0) {
+        forgetServer(backends.Holders, it->first);
         it = backends.Servers.erase(it);
         continue;
       }
@@ -276,9 +281,8 @@
     ++it->Running;
     it->PendingTokens = std::max(0.0, it->PendingTokens - pending);
   }
-  const auto part = sharedPartOf(prompt);
-  if (part && (backends.Holders.size() < MaxHolders || backends.Holders.contains(*part)))
-    backends.Holders[*part] = id;
+  if (const auto part = sharedPartOf(prompt))
+    noteHolder(backends.Holders, *part, id);
 }
 
 void onEnded(Backends &backends, const std::string &id, double pending, bool began) {
--- a/packages/relay/Backends.h
+++ b/packages/relay/Backends.h
@@ -9,6 +9,7 @@
 #include "base/Time.h"
 #include "message/BackendLoads.h"
 #include "relay/BackendEntry.h"
+#include "relay/PartHolders.h"
 #include "relay/RequestInfo.h"
 
 #include <map>
@@ -16,7 +17,6 @@
 #include <span>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -66,8 +66,7 @@
   std::map<std::string, LeavingNote> LeavingNews;
   /// Work of other nodes, by node, with the time at which they said so.
   std::map<std::string, std::pair<TimePoint, message::BackendLoads>> PeerLoads;
-  /// Server that read a shared part of prompts last, by part; bounded.
-  std::unordered_map<std::uint64_t, std::string> Holders;
+  PartHolders Holders;
 };
 
 /// Where a request goes.
@@ -75,7 +74,8 @@
   const Backend *Server = nullptr;
   /// Prompt tokens that the server is expected to read.
   double PendingTokens = 0;
-  /// A server that probably holds the shared part which the chosen one lacks; null if none.
+  /// A server that probably holds the shared part which the chosen one lacks, and from which it can
+  /// be fetched; null if none.
   const Backend *Holder = nullptr;
 };
 
@@ -94,7 +94,7 @@
 /// unless `keepMissing`: entries lapse while the list's store is away and return after it. Returns
 /// the servers that became leaving, and are to be told to peers.
 std::vector<Departure> applyList(Backends &backends, std::span<const BackendEntry> list,
-                                   bool keepMissing, const Now &now);
+                                 bool keepMissing, const Now &now);
 
 /// A peer knows that a server is leaving. Returns true if this node did not.
 bool applyLeaving(Backends &backends, const Departure &departure, const Now &now);
--- a/packages/relay/BackendsTest.cpp
+++ b/packages/relay/BackendsTest.cpp
@@ -110,6 +110,38 @@
   BOOST_TEST(most - least <= 13'000 + 1000);
 }
 
+// Guards against a shared part that is read again though a server that another node used holds it,
+// also after one of its holders is gone.
+BOOST_AUTO_TEST_CASE(PartsReadForOtherNodesAreFetched) {
+  Backends b;
+  applyList(b, entries(6), false, Start);
+  const std::vector<PromptPart> prompt = {{1, 13000}, {2, 1000}};
+  Work work;
+  work.Service = "m";
+  work.Prompt = prompt;
+  Random rng(1);
+  const Choice cold = choose(b, work, Start, rng);
+  BOOST_TEST(cold.PendingTokens == 14000);
+  BOOST_TEST(cold.Holder == nullptr);
+  std::vector<std::string> others;
+  for (const auto &[id, it] : b.Servers)
+    if (id != cold.Server->Entry.Id && others.size() < 2)
+      others.push_back(id);
+  applyNews(b.Holders, {{{others[0], {1}}, {others[1], {1}}}});
+  const Choice warm = choose(b, work, Start, rng);
+  BOOST_TEST(warm.PendingTokens == 1000);
+  BOOST_TEST(warm.Holder == nullptr);
+  auto list = entries(6);
+  std::erase_if(list, [&](const BackendEntry &it) { return it.Id == others[0]; });
+  applyList(b, list, false, later(1s));
+  BOOST_TEST(choose(b, work, later(1s), rng).Server->Entry.Id == others[1]);
+  onStarted(b, others[1], 50'000);
+  const Choice fetched = choose(b, work, later(1s), rng);
+  BOOST_TEST(fetched.Server->Entry.Id != others[1]);
+  BOOST_REQUIRE(fetched.Holder != nullptr);
+  BOOST_TEST(fetched.Holder->Entry.Id == others[1]);
+}
+
 // Guards against nodes that all send to one server because each sees only its own work.
 BOOST_AUTO_TEST_CASE(WorkOfOtherNodesCountsUntilItIsOld) {
   Backends b;
--- /dev/null
+++ b/packages/relay/PartHolders.cpp
@@ -0,0 +1,66 @@
+#include "relay/PartHolders.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace chervil::relay {
+namespace {
+
+/// Returns true if the server was not known to hold the part.
+bool add(PartHolders &holders, std::uint64_t part, const std::string &server) {
+  const auto known = holders.Servers.find(part);
+  if (known == holders.Servers.end()) {
+    if (holders.Servers.size() >= MaxParts)
+      return false;
+    holders.Servers.emplace(part, std::vector<std::string>{server});
+    return true;
+  }
+  std::vector<std::string> &servers = known->second;
+  const auto it = std::ranges::find(servers, server);
+  if (it != servers.end()) {
+    std::rotate(servers.begin(), it, it + 1);
+    return false;
+  }
+  servers.insert(servers.begin(), server);
+  if (servers.size() > MaxHoldersOfPart)
+    servers.pop_back();
+  return true;
+}
+
+} // namespace
+
+void noteHolder(PartHolders &holders, std::uint64_t part, const std::string &server) {
+  if (add(holders, part, server))
+    holders.News[server].push_back(part);
+}
+
+void applyNews(PartHolders &holders, const message::HeldParts &news) {
+  for (const message::ServerParts &it : news.Servers)
+    for (const std::uint64_t part : it.Parts)
+      add(holders, part, it.Backend);
+}
+
+message::HeldParts takeNews(PartHolders &holders) {
+  message::HeldParts out;
+  for (auto &[server, parts] : holders.News)
+    out.Servers.push_back({server, std::move(parts)});
+  holders.News.clear();
+  return out;
+}
+
+std::span<const std::string> holdersOf(const PartHolders &holders, std::uint64_t part) {
+  const auto it = holders.Servers.find(part);
+  if (it == holders.Servers.end())
+    return {};
+  return it->second;
+}
+
+void forgetServer(PartHolders &holders, const std::string &server) {
+  holders.News.erase(server);
+  for (auto it = holders.Servers.begin(); it != holders.Servers.end();) {
+    std::erase(it->second, server);
+    it = it->second.empty() ? holders.Servers.erase(it) : std::next(it);
+  }
+}
+
+} // namespace chervil::relay
--- a/packages/wire/detail/Fields.h
+++ b/packages/wire/detail/Fields.h
@@ -142,6 +142,8 @@
   return std::tie(m.Backend, m.PendingTokens, m.Running);
 }
 template <Is<message::BackendLoads> M> auto fields(M &m) { return std::tie(m.Loads); }
+template <Is<message::ServerParts> M> auto fields(M &m) { return std::tie(m.Backend, m.Parts); }
+template <Is<message::HeldParts> M> auto fields(M &m) { return std::tie(m.Servers); }
 
 /// A struct with a list of fields above.
 template <typename T>
--- a/tools/lib/lint.py
+++ b/tools/lib/lint.py
@@ -6,7 +6,7 @@
 clang-tidy takes about ten minutes for the whole tree, and its verdict depends only on the tool, its
 settings, the compile command and the files that the source includes. A clean verdict is kept under
 the hash of all of these; a file is checked again when any of them changes. Findings are never kept.
-The cache is $XDG_CACHE_HOME/chervilcourse-lint (~/.cache by default) and can be removed at any time.
+LINT_JOBS bounds the files checked at a time (all processors by default). The cache is $XDG_CACHE_HOME/chervilcourse-lint (~/.cache by default) and can be removed at any time.
 """
 import concurrent.futures
 import functools
@@ -79,7 +79,7 @@
     # A file outside this build (a fuzz target) has no command to hash; clang-tidy infers one.
     known = [entries.get(it, {"file": it}) for it in sorted(files)]
     reused, status = 0, 0
-    with concurrent.futures.ThreadPoolExecutor(os.cpu_count()) as pool:
+    with concurrent.futures.ThreadPoolExecutor(int(os.environ.get("LINT_JOBS", os.cpu_count()))) as pool:
         for code, text, was_kept in pool.map(lambda it: check(it, build, root, fixed, cache), known):
             reused += was_kept
             if code != 0:
