relay, docs: full memory of part holders takes new parts; pages for demand and holders

Cause (read-through): a node that remembered 50,000 parts ignored all new ones from then on. Change: any one part makes room for a new one. Measured: relay_test and settings_test pass; RelayPartHolders/NewPartsReplaceOldOnesWhenFull fails without the change (the last part has no holder).

--- a/packages/daemon/edge/EdgePeers.cpp
+++ b/packages/daemon/edge/EdgePeers.cpp
@@ -14,8 +14,8 @@
 using namespace std::chrono_literals;
 
 constexpr const char *ConfigurationName = "operators/configuration";
-// Members that get a piece of news from each node that learns it. In a fleet of up to
-// SmallFleet nodes all get it: with three of nine, one node was missed in 1 of 64 cases.
+// Members that get a piece of news from each node that learns it. In a small fleet all get it: by
+// calculation, three of nine miss one node in 1 of 64 cases.
 constexpr std::size_t SpreadFanout = 4;
 constexpr std::size_t SmallFleet = 16;
 // A home that did not answer is passed over for this long; its death is known by then.
--- a/packages/relay/PartHolders.cpp
+++ b/packages/relay/PartHolders.cpp
@@ -10,8 +10,9 @@
 bool add(PartHolders &holders, std::uint64_t part, const std::string &server) {
   const auto known = holders.Servers.find(part);
   if (known == holders.Servers.end()) {
+    // Any part may go: it is fetched or read once more. Refusing new ones would keep only old ones.
     if (holders.Servers.size() >= MaxParts)
-      return false;
+      holders.Servers.erase(holders.Servers.begin());
     holders.Servers.emplace(part, std::vector<std::string>{server});
     return true;
   }
--- a/packages/relay/PartHoldersTest.cpp
+++ b/packages/relay/PartHoldersTest.cpp
@@ -48,4 +48,13 @@
   BOOST_TEST(a.Servers.empty());
 }
 
+// Guards against a node that remembers only the first parts it saw, and against unbounded memory.
+BOOST_AUTO_TEST_CASE(NewPartsReplaceOldOnesWhenFull) {
+  PartHolders a;
+  for (std::uint64_t part = 0; part < MaxParts + 10; ++part)
+    noteHolder(a, part, "e1");
+  BOOST_TEST(a.Servers.size() == MaxParts);
+  BOOST_TEST(holders(a, MaxParts + 9).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/settings/SettingKeys.cpp
+++ b/packages/settings/SettingKeys.cpp
@@ -204,7 +204,8 @@
      "Reclaimable backend servers ordered per data centre, as part of the bound on servers there.",
      at<&S::Edge, &EdgeSection::ReclaimablePercent>},
     {"edge", "needed_percent", Percent, "35", 0, 100,
-     "Backend servers that the load needs, as part of the bounds of all data centres.",
+     "Backend servers that the load needs, as part of the bounds of all data centres, until the "
+     "demand was measured.",
      at<&S::Edge, &EdgeSection::NeededPercent>},
 
     {"testing", "fatal_invariants", Boolean, "false", 0, 0,
