tools: lint verdicts are shared between clones in different folders

Cause: the files of a source were hashed in the order of their absolute paths, which differs with the folder of the clone (before or after /usr), so that a clone found 4 of 25 verdicts. Change: they are sorted by their names without the root.

--- a/tools/lib/lint.py
+++ b/tools/lib/lint.py
@@ -6,7 +6,8 @@
 clang-tidy takes about ten minutes for the whole tree, and its verdict depends only on the tool, its
 settings, the compile command and the files that the source includes. A clean verdict is kept under
 the hash of all of these; a file is checked again when any of them changes. Findings are never kept.
-LINT_JOBS bounds the files checked at a time (all processors by default). The cache is $XDG_CACHE_HOME/chervilcourse-lint (~/.cache by default) and can be removed at any time.
+The cache is $XDG_CACHE_HOME/chervilcourse-lint (~/.cache by default) and can be removed at any time.
+LINT_JOBS bounds the files checked at a time (all processors by default).
 """
 import concurrent.futures
 import functools
@@ -40,7 +41,7 @@
     if out.returncode != 0:
         return None
     names = shlex.split(out.stdout.replace("\\\n", " "))[1:]
-    return sorted(str(pathlib.Path(directory, it)) for it in names)
+    return [str(pathlib.Path(directory, it)) for it in names]
 
 
 def cache_key(entry, root, fixed):
@@ -49,8 +50,10 @@
         return None
     digest = hashlib.sha256(fixed.encode())
     digest.update(entry["command"].replace(root, "").encode())
-    for it in files:
-        digest.update(os.path.realpath(it).replace(root, "").encode())
+    # Sorted without the root, so that clones in other folders get the same key.
+    named = sorted((os.path.realpath(it).removeprefix(root), it) for it in files)
+    for name, it in named:
+        digest.update(name.encode())
         digest.update(content_hash(it).encode())
     return digest.hexdigest()
 
