routing, retry: suspects of a crash are kept apart over all nodes; only a death alone convicts

Cause: a suspect ran alone among the requests of its own node only. An innocent request that had died with the crashing one could die with it a second time: as a suspect of another node on the same back end, or as a running request that was not yet a suspect. Two deaths quarantined its content.

Ruled out: that the retry budget or the time to choose ended the request (its code was quarantined).

Change: a quarantine needs two deaths of which one came while the content ran as a suspect.

--- a/packages/message/CrashReport.h
+++ b/packages/message/CrashReport.h
@@ -15,6 +15,8 @@
   std::vector<std::string> Backends;
   /// Remaining lifetime of the suspicion or quarantine.
   std::chrono::milliseconds Lifetime{0};
+  /// The content ran as a suspect, apart from other work, when the back ends died.
+  bool Alone = false;
 };
 
 } // namespace chervil::message
--- a/packages/node/Context.h
+++ b/packages/node/Context.h
@@ -99,7 +99,7 @@
 
 // Crashing requests (Crashes.cpp).
 /// A back end died while it ran this content.
-void noteCrash(Context &ctx, std::uint64_t contentHash, const std::string &backend);
+void noteCrash(Context &ctx, std::uint64_t contentHash, const std::string &backend, bool alone);
 void onCrashReport(Context &ctx, const message::CrashReport &report);
 void spreadCrashes(Context &ctx, const std::vector<NodeId> &members);
 
--- a/packages/node/Crashes.cpp
+++ b/packages/node/Crashes.cpp
@@ -15,10 +15,11 @@
 
 } // namespace
 
-void noteCrash(Context &ctx, std::uint64_t contentHash, const std::string &backend) {
+void noteCrash(Context &ctx, std::uint64_t contentHash, const std::string &backend, bool alone) {
   count(ctx, "suspect", "back_end_died");
   ctx.S.Crashes.push_back(
-      {retry::onBackendDied(ctx.S.Quarantined, contentHash, backend, ctx.Time), CrashRounds});
+      {retry::onBackendDied(ctx.S.Quarantined, contentHash, backend, alone, ctx.Time),
+       CrashRounds});
 }
 
 void onCrashReport(Context &ctx, const message::CrashReport &report) {
--- a/packages/node/Execute.cpp
+++ b/packages/node/Execute.cpp
@@ -214,6 +214,20 @@
   return false;
 }
 
+/// What placement needs to keep the content apart from the other suspects of the same crash.
+std::optional<routing::Suspicion> suspicionOf(const Context &ctx, std::uint64_t content) {
+  // Callers and nodes see the end of one back end within its connection time-out.
+  constexpr Duration oneCrash = 2s;
+  const auto death = retry::lastDeath(ctx.S.Quarantined, content, ctx.Time);
+  if (!death)
+    return std::nullopt;
+  routing::Suspicion suspicion{content, *death, {}};
+  for (const std::uint64_t it : retry::suspectsOf(ctx.S.Quarantined, *death, oneCrash, ctx.Time))
+    if (it < content)
+      suspicion.Ahead.push_back(it);
+  return suspicion;
+}
+
 } // namespace
 
 void attachCall(Context &ctx, Call &call, Execution &execution) {
@@ -280,7 +294,9 @@
     endQuarantined(ctx, execution);
     return;
   }
-  execution.Suspect = standing == retry::Standing::Suspect;
+  execution.Suspect = standing == retry::Standing::Suspect
+                          ? suspicionOf(ctx, execution.Record.BodyHash)
+                          : std::nullopt;
   const routing::ChoiceResult choice =
       routing::choose(ctx.S.Routes, workOf(execution), ctx.Time, ctx.Rng);
   if (choice && choice->Wait.count() == 0) {
@@ -342,7 +358,7 @@
   }
   routing::requestFailed(ctx.S.Routes, end.Call, toRouting(end.Failure), ctx.Time);
   if (end.Failure == BackendFailure::Died && !execution->BackendLeaving)
-    noteCrash(ctx, execution->Record.BodyHash, execution->Backend);
+    noteCrash(ctx, execution->Record.BodyHash, execution->Backend, execution->Suspect.has_value());
   // A part of a service's body is not a part of the answer of another call.
   if (execution->Record.Spec.Kind == WorkKind::Service)
     execution->Record.Answer.resize(0);
--- a/packages/node/Execution.h
+++ b/packages/node/Execution.h
@@ -4,8 +4,10 @@
 
 #include "base/Time.h"
 #include "message/RecordCopy.h"
+#include "routing/Suspicion.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,8 +41,8 @@
   bool Sent = false;
   std::vector<std::string> Avoid;
   std::uint32_t Failures = 0;
-  /// A back end died with this content: it runs alone.
-  bool Suspect = false;
+  /// Set when a back end died with this content: it runs alone.
+  std::optional<routing::Suspicion> Suspect;
   /// Last delay before a retry, 0 before the first.
   Duration Backoff{0};
   /// The current back end is about to stop, so its end says nothing about the request.
--- a/packages/node/NodeTest.cpp
+++ b/packages/node/NodeTest.cpp
@@ -233,8 +233,8 @@
   checkSafe(driver.report());
 }
 
-// Guards against innocent requests that are lost with the back ends a crashing request took down.
-// See KNOWN-RED.txt.
+// Guards against innocent requests that are lost with the back ends a crashing request took down:
+// they run again, and only a death on their own counts against them.
 BOOST_AUTO_TEST_CASE(InnocentsOfACrashFinish) {
   NodeDriver driver = driverWithCrashes();
   driver.runFor(60s);
--- a/packages/relay/Answers.cpp
+++ b/packages/relay/Answers.cpp
@@ -51,8 +51,8 @@
   ++ticket.Runs;
   observe(ctx.S.Servers, ticket.Backend, Observation::Broken, ctx.Time);
   if (!ticket.Began) {
-    const message::CrashReport report =
-        retry::onBackendDied(ctx.S.Crashes, ticket.Info.ContentHash, ticket.Backend, ctx.Time);
+    const message::CrashReport report = retry::onBackendDied(ctx.S.Crashes, ticket.Info.ContentHash,
+                                                             ticket.Backend, false, ctx.Time);
     ctx.Out.push_back(Spread{report});
   }
   detail::endCall(ctx, ticket, true);
--- a/packages/relay/Relay.cpp
+++ b/packages/relay/Relay.cpp
@@ -57,7 +57,7 @@
 
 bool isCrashing(const State &state, std::uint64_t contentHash) {
   const auto it = state.Crashes.Deaths.find(contentHash);
-  return it != state.Crashes.Deaths.end() && it->second.size() >= detail::DeathsToRefuse;
+  return it != state.Crashes.Deaths.end() && it->second.Backends.size() >= detail::DeathsToRefuse;
 }
 
 void startTicket(Context &ctx, Ticket ticket, const Workspace *workspace) {
--- a/packages/retry/Quarantine.cpp
+++ b/packages/retry/Quarantine.cpp
@@ -6,22 +6,20 @@
 namespace chervil::retry {
 namespace {
 
-using Deaths = std::map<std::string, TimePoint>;
-
 // An entry lives as long as its latest death, so that a quarantine lasts for its whole time after
 // the death that caused it.
-TimePoint expiry(const Deaths &deaths) {
+TimePoint expiry(const ContentDeaths &deaths) {
   TimePoint latest = TimePoint::min();
-  for (const auto &[backend, until] : deaths)
+  for (const auto &[backend, until] : deaths.Backends)
     latest = std::max(latest, until);
   return latest;
 }
 
 // Keeps the back ends that died last; by name among equals, so that the order of merges does not
 // matter.
-void limitBackends(Deaths &deaths) {
-  while (deaths.size() > MaxBackends)
-    deaths.erase(std::ranges::min_element(deaths, [](const auto &a, const auto &b) {
+void limitBackends(std::map<std::string, TimePoint> &backends) {
+  while (backends.size() > MaxBackends)
+    backends.erase(std::ranges::min_element(backends, [](const auto &a, const auto &b) {
       return std::pair(a.second, a.first) < std::pair(b.second, b.first);
     }));
 }
@@ -39,15 +37,37 @@
   const auto it = quarantine.Deaths.find(contentHash);
   if (it == quarantine.Deaths.end() || expiry(it->second) <= now.Steady)
     return Standing::Clear;
-  return it->second.size() >= DeathsToQuarantine ? Standing::Quarantined : Standing::Suspect;
+  const ContentDeaths &deaths = it->second;
+  return deaths.Alone && deaths.Backends.size() >= DeathsToQuarantine ? Standing::Quarantined
+                                                                      : Standing::Suspect;
+}
+
+std::optional<TimePoint> lastDeath(const Quarantine &quarantine, std::uint64_t contentHash,
+                                   const Now &now) {
+  const auto it = quarantine.Deaths.find(contentHash);
+  if (it == quarantine.Deaths.end() || expiry(it->second) <= now.Steady)
+    return std::nullopt;
+  return expiry(it->second) - QuarantineTime;
+}
+
+std::vector<std::uint64_t> suspectsOf(const Quarantine &quarantine, TimePoint death,
+                                      Duration within, const Now &now) {
+  std::vector<std::uint64_t> result;
+  for (const auto &[hash, deaths] : quarantine.Deaths) {
+    const auto at = lastDeath(quarantine, hash, now);
+    if (at && standing(quarantine, hash, now) == Standing::Suspect &&
+        std::chrono::abs(*at - death) <= within)
+      result.push_back(hash);
+  }
+  return result;
 }
 
 message::CrashReport onBackendDied(Quarantine &quarantine, std::uint64_t contentHash,
-                                   const std::string &backend, const Now &now) {
-  message::CrashReport report{
-      contentHash,
-      {backend},
-      std::chrono::duration_cast<std::chrono::milliseconds>(QuarantineTime)};
+                                   const std::string &backend, bool alone, const Now &now) {
+  message::CrashReport report{contentHash,
+                              {backend},
+                              std::chrono::duration_cast<std::chrono::milliseconds>(QuarantineTime),
+                              alone};
   onCrashReport(quarantine, report, now);
   return report;
 }
@@ -58,20 +78,22 @@
   const Duration lifetime = std::min<Duration>(report.Lifetime, QuarantineTime);
   if (lifetime <= Duration::zero() || report.Backends.empty())
     return false;
-  Deaths &deaths = quarantine.Deaths[report.ContentHash];
+  ContentDeaths &deaths = quarantine.Deaths[report.ContentHash];
   if (expiry(deaths) <= now.Steady)
-    deaths.clear();
-  const Deaths before = deaths;
+    deaths = {};
+  const ContentDeaths before = deaths;
   const TimePoint until = now.Steady + lifetime;
   for (const std::string &it : report.Backends) {
-    TimePoint &known = deaths.try_emplace(it, until).first->second;
+    TimePoint &known = deaths.Backends.try_emplace(it, until).first->second;
     known = std::max(known, until);
   }
-  limitBackends(deaths);
-  const bool isNew = std::ranges::any_of(deaths, [&](const auto &it) {
-    const auto old = before.find(it.first);
-    return old == before.end() || it.second - old->second >= leastGain;
-  });
+  deaths.Alone |= report.Alone;
+  limitBackends(deaths.Backends);
+  const bool isNew =
+      deaths.Alone != before.Alone || std::ranges::any_of(deaths.Backends, [&](const auto &it) {
+        const auto old = before.Backends.find(it.first);
+        return old == before.Backends.end() || it.second - old->second >= leastGain;
+      });
   limitEntries(quarantine);
   return isNew;
 }
@@ -79,10 +101,12 @@
 std::vector<message::CrashReport> reports(const Quarantine &quarantine, const Now &now) {
   std::vector<message::CrashReport> result;
   for (const auto &[hash, deaths] : quarantine.Deaths)
-    for (const auto &[backend, until] : deaths)
+    for (const auto &[backend, until] : deaths.Backends)
       if (until > now.Steady)
-        result.push_back(
-            {hash, {backend}, std::chrono::ceil<std::chrono::milliseconds>(until - now.Steady)});
+        result.push_back({hash,
+                          {backend},
+                          std::chrono::ceil<std::chrono::milliseconds>(until - now.Steady),
+                          deaths.Alone});
   return result;
 }
 
--- a/packages/retry/Quarantine.h
+++ b/packages/retry/Quarantine.h
@@ -19,7 +19,9 @@
 
 namespace chervil::retry {
 
-/// Different back ends that must have died before content is quarantined.
+/// Different back ends that must have died before content is quarantined. At least one of them must
+/// have died while the content ran as a suspect: work that only shared back ends with a crashing
+/// request is not to blame.
 inline constexpr std::size_t DeathsToQuarantine = 2;
 /// Lifetime of a suspicion or quarantine after the last death.
 inline constexpr Duration QuarantineTime = std::chrono::minutes(10);
@@ -36,16 +38,36 @@
   Quarantined,
 };
 
+/// Back ends that died while they ran one content.
+struct ContentDeaths {
+  /// Back end -> when its death is forgotten.
+  std::map<std::string, TimePoint> Backends;
+  /// At least one of them died while the content ran as a suspect.
+  bool Alone = false;
+
+  bool operator==(const ContentDeaths &) const = default;
+};
+
 struct Quarantine {
-  /// Content hash -> back end that died -> when this death is forgotten.
-  std::map<std::uint64_t, std::map<std::string, TimePoint>> Deaths;
+  /// By content hash.
+  std::map<std::uint64_t, ContentDeaths> Deaths;
 };
 
 Standing standing(const Quarantine &quarantine, std::uint64_t contentHash, const Now &now);
 
-/// Records a death seen by this node and gives the report for its peers.
+/// Latest death of a back end that ran the content; empty without one.
+std::optional<TimePoint> lastDeath(const Quarantine &quarantine, std::uint64_t contentHash,
+                                   const Now &now);
+
+/// Content hashes under suspicion, in ascending order, whose latest death differs by at most
+/// `within` from `death`: those that may have run on the same back end.
+std::vector<std::uint64_t> suspectsOf(const Quarantine &quarantine, TimePoint death,
+                                      Duration within, const Now &now);
+
+/// Records a death seen by this node and gives the report for its peers. `alone`: the content ran
+/// as a suspect.
 message::CrashReport onBackendDied(Quarantine &quarantine, std::uint64_t contentHash,
-                                   const std::string &backend, const Now &now);
+                                   const std::string &backend, bool alone, const Now &now);
 
 /// Merges a report. True when it held something new, so that it is worth passing on. Merging is
 /// commutative and idempotent.
--- a/packages/routing/Routing.cpp
+++ b/packages/routing/Routing.cpp
@@ -1,6 +1,7 @@
 #include "routing/Routing.h"
 
 #include "base/Hash.h"
+#include "routing/SuspectPlace.h"
 
 #include <algorithm>
 #include <cmath>
@@ -31,14 +32,6 @@
   return Duration(static_cast<Duration::rep>(std::min(s, 1e9) * 1e6));
 }
 
-std::uint64_t mix(std::uint64_t a, std::uint64_t b) {
-  // Finaliser of splitmix64; both inputs are xxh64 values already.
-  std::uint64_t x = a ^ (b * 0x9e3779b97f4a7c15ULL);
-  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-  return x ^ (x >> 31);
-}
-
 std::unordered_map<std::string, Pool> &poolsOf(State &state, message::WorkKind kind) {
   return kind == message::WorkKind::Model ? state.Models : state.Services;
 }
@@ -240,7 +233,7 @@
   std::uint32_t home = Decision::None;
   std::uint64_t top = 0;
   for (const std::uint32_t i : pool.Members) {
-    const std::uint64_t rank = mix(s.Work.PrefixHashes.front(), s.S.Seen[i].NameHash);
+    const std::uint64_t rank = mixHashes(s.Work.PrefixHashes.front(), s.S.Seen[i].NameHash);
     if ((home == Decision::None || rank > top) && load(s.S, i, s.At) <= bound &&
         unusable(s.S, i, s.Work, s.UseEjected, s.At) == Rejected::No) {
       home = i;
@@ -252,28 +245,33 @@
     consider(s, home, 0.5);
 }
 
-/// A back end that runs nothing; otherwise one to be emptied.
-void considerAlone(Search &s, const Pool &pool, Random &rng) {
-  const std::size_t n = pool.Members.size();
-  const std::size_t start = std::uniform_int_distribution<std::size_t>(0, n - 1)(rng);
-  std::uint32_t fewest = std::numeric_limits<std::uint32_t>::max();
-  for (std::size_t k = 0; k < n; ++k) {
-    const std::uint32_t i = pool.Members[(start + k) % n];
-    if (unusable(s.S, i, s.Work, s.UseEjected, s.At) != Rejected::No)
+/// The back end at which the suspect meets no other suspect. It is emptied first.
+void considerAlone(Search &s, const Pool &pool) {
+  const Suspicion &suspicion = *s.Work.Suspect;
+  std::vector<std::uint32_t> usable;
+  std::vector<std::uint64_t> names;
+  for (const std::uint32_t i : pool.Members) {
+    // A back end where a suspect of this node runs keeps its place in the assignment.
+    const Rejected reason = unusable(s.S, i, s.Work, s.UseEjected, s.At);
+    if (reason != Rejected::No && reason != Rejected::Isolated)
       continue;
-    const std::uint32_t running = load(s.S, i, s.At);
-    const bool emptying = s.At.Steady < s.S.Seen[i].EmptyUntil;
-    if (running == 0 || emptying || running < fewest) {
-      const double expected = expectedTime(s.S, i, s.Work, s.Tokens, 0, s.At);
-      s.Best = {i, expected, 0, running == 0 ? Duration{0} : s.S.Config.HoldFor};
-      fewest = emptying ? 0 : running;
-    }
-    if (running == 0)
-      break;
+    usable.push_back(i);
+    names.push_back(s.S.Seen[i].NameHash);
   }
-  if (s.Log != nullptr && s.Best.Index != Decision::None)
-    s.Log->push_back({s.S.Backends[s.Best.Index].Name, fromSeconds(s.Best.Expected), 0,
-                      slowFactor(s.S.Seen[s.Best.Index], s.At), fewest, Rejected::No});
+  if (usable.empty())
+    return;
+  const SuspectPlace place = placeOfSuspect(suspicion, names);
+  const std::uint32_t i = usable[place.Backend];
+  const Observed &o = s.S.Seen[i];
+  const std::uint32_t running = load(s.S, i, s.At);
+  const TimePoint start = startOfSuspect(suspicion, place);
+  const bool inTime = s.At.Steady >= start && !o.SuspectRuns;
+  const bool empty = running == 0 || s.At.Steady >= start + SuspectEmptyWait;
+  s.Best = {i, expectedTime(s.S, i, s.Work, s.Tokens, 0, s.At), 0,
+            inTime && empty ? Duration{0} : s.S.Config.HoldFor};
+  if (s.Log != nullptr)
+    s.Log->push_back({s.S.Backends[i].Name, fromSeconds(s.Best.Expected), 0, slowFactor(o, s.At),
+                      running, Rejected::No});
 }
 
 tl::expected<Decision, ResultCode> decide(const State &state, const WorkRequest &work,
@@ -290,7 +288,7 @@
   for (const bool useEjected : {false, true}) {
     s.UseEjected = useEjected;
     if (work.Suspect) {
-      considerAlone(s, *pool, rng);
+      considerAlone(s, *pool);
     } else {
       considerPrefix(s, *pool);
       considerTwo(s, *pool, rng);
@@ -479,8 +477,9 @@
     pool.Serving = static_cast<std::uint32_t>(pool.Members.size());
     if (pool.Members.size() > state.Config.SubsetSize) {
       const auto cut = pool.Members.begin() + state.Config.SubsetSize;
-      std::ranges::nth_element(pool.Members, cut, std::greater{},
-                               [&](std::uint32_t i) { return mix(self, state.Seen[i].NameHash); });
+      std::ranges::nth_element(pool.Members, cut, std::greater{}, [&](std::uint32_t i) {
+        return mixHashes(self, state.Seen[i].NameHash);
+      });
       pool.Members.erase(cut, pool.Members.end());
       std::ranges::sort(pool.Members);
     }
--- a/packages/routing/RoutingTest.cpp
+++ b/packages/routing/RoutingTest.cpp
@@ -88,7 +88,7 @@
   requestStarted(s, 1, work(), "e0", at(0s));
   requestStarted(s, 2, work(), "e1", at(0s));
   WorkRequest w = work();
-  w.Suspect = true;
+  w.Suspect = Suspicion{7, at(-1s).Steady, {}};
   const auto waits = choose(s, w, at(0s), rng);
   BOOST_REQUIRE(waits.has_value());
   BOOST_TEST((waits->Wait > Duration{0}));
@@ -210,7 +210,8 @@
       const std::string name = "e" + std::to_string(rng() % static_cast<std::uint64_t>(n));
       if (step < 40) {
         WorkRequest w = work(static_cast<std::uint32_t>(1 + rng() % 2000));
-        w.Suspect = rng() % 10 == 0;
+        if (rng() % 10 == 0)
+          w.Suspect = Suspicion{rng() % 5, at(t - std::chrono::seconds(rng() % 3)).Steady, {}};
         if (const auto c = choose(s, w, at(t), rng)) {
           RC_ASSERT(!gone.contains(c->Backend));
           if (c->Wait == Duration{0}) {
--- a/packages/routing/WorkRequest.h
+++ b/packages/routing/WorkRequest.h
@@ -3,8 +3,10 @@
 #define CHERVIL_ROUTING_WORKREQUEST_H
 
 #include "message/RequestSpec.h"
+#include "routing/Suspicion.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,8 +29,8 @@
   /// 0 is most urgent.
   std::uint8_t Priority = 1;
   bool Repeatable = true;
-  /// A back end died while running this content: the request runs alone.
-  bool Suspect = false;
+  /// Set when a back end died while running this content: the request runs alone.
+  std::optional<Suspicion> Suspect;
   /// Names of back ends not to use, such as those that already failed this request.
   std::vector<std::string> Avoid;
 };
--- a/packages/wire/detail/Fields.h
+++ b/packages/wire/detail/Fields.h
@@ -108,7 +108,7 @@
 template <Is<message::DemandReport> M> auto fields(M &m) { return std::tie(m.Demands); }
 template <Is<message::ShareGrant> M> auto fields(M &m) { return std::tie(m.Shares); }
 template <Is<message::CrashReport> M> auto fields(M &m) {
-  return std::tie(m.ContentHash, m.Backends, m.Lifetime);
+  return std::tie(m.ContentHash, m.Backends, m.Lifetime, m.Alone);
 }
 template <Is<message::BackendNews> M> auto fields(M &m) {
   return std::tie(m.Backend, m.Seq, m.SlowFactor, m.Leaving, m.Born);
