relay: a first listing is no restart; holders of a part are looked up once per choice

Ruled out: a need to clear parts at the first listing; what a server held before is forgotten when it leaves the list.

Change: parts are forgotten at another start only; one look-up per choice; the set-up of a prompt and its work stands once in the test.

Measured: RelayBackends/HoldersAreKnownFromTheFirstListToTheNextStart; its first half fails with the old condition by reading it (not run). relay_test passes.

--- a/packages/relay/Backends.cpp
+++ b/packages/relay/Backends.cpp
@@ -92,10 +92,9 @@
   return best;
 }
 
-/// A server that holds a shared part and can still be asked for it, the one that read it last
-/// first; null if none is known.
-const Backend *holderOf(const Backends &backends, std::uint64_t part) {
-  for (const std::string &id : holdersOf(backends.Holders, part)) {
+/// The first of the servers that can still be asked for what it holds; null if there is none.
+const Backend *firstInReach(const Backends &backends, std::span<const std::string> holders) {
+  for (const std::string &id : holders) {
     const auto it = backends.Servers.find(id);
     if (it != backends.Servers.end() && !it->second.Missing)
       return &it->second;
@@ -103,11 +102,6 @@
   return nullptr;
 }
 
-bool holds(const Backends &backends, const Backend &server, std::uint64_t part) {
-  const auto holders = holdersOf(backends.Holders, part);
-  return std::ranges::find(holders, server.Entry.Id) != holders.end();
-}
-
 /// Prompt tokens that a server reads before the first token of new work.
 double waitingTokens(const Backend &it) {
   return it.PendingTokens + it.OthersPending +
@@ -119,7 +113,9 @@
 /// in rank, which all nodes choose alike.
 Choice byPrompt(const Backends &backends, const std::vector<const Backend *> &candidates,
                 const Work &work, std::uint64_t part) {
-  const Backend *holder = holderOf(backends, part);
+  // The one that read the part last comes first.
+  const std::span<const std::string> holders = holdersOf(backends.Holders, part);
+  const Backend *holder = firstInReach(backends, holders);
   const Backend *first = firstInRank(candidates, part);
   const double own = work.Prompt.back().Tokens;
   const auto shared = static_cast<double>(sharedTokensOf(work.Prompt));
@@ -127,7 +123,8 @@
   Choice best;
   double bestCost = 0;
   for (const Backend *it : candidates) {
-    const bool hasPart = holder == nullptr ? it == first : holds(backends, *it, part);
+    const bool hasPart =
+        holder == nullptr ? it == first : std::ranges::find(holders, it->Entry.Id) != holders.end();
     const double missing = hasPart ? 0 : it == first ? fetch / 2 : fetch;
     const double cost = waitingTokens(*it) + missing;
     if (best.Server != nullptr && cost >= bestCost)
@@ -172,14 +169,17 @@
     if (!it.Missing)
       it.Missing = now.Steady;
   for (const BackendEntry &entry : list) {
-    Backend &it = backends.Servers[entry.Id];
-    const bool restarted = it.Entry.Born != entry.Born || it.Entry.Address != entry.Address;
-    if (restarted) {
+    const auto [known, isNew] = backends.Servers.try_emplace(entry.Id);
+    Backend &it = known->second;
+    const bool isOtherStart = it.Entry.Born != entry.Born || it.Entry.Address != entry.Address;
+    if (isOtherStart)
+      forgetNewsOfEarlierStart(backends, entry);
+    // What peers said of a server before it is listed here concerns its present start.
+    if (isOtherStart && !isNew) {
       const unsigned inflight = it.Inflight;
       it = {};
       it.Inflight = inflight;
       forgetServer(backends.Holders, entry.Id);
-      forgetNewsOfEarlierStart(backends, entry);
     }
     it.Missing.reset();
     const bool wasLeaving = it.Leaving;
--- a/packages/relay/BackendsTest.cpp
+++ b/packages/relay/BackendsTest.cpp
@@ -24,6 +24,16 @@
 
 Now later(Duration d) { return {Start.Steady + d, Start.Wall}; }
 
+/// A long part that other prompts have too, and one of the prompt's own.
+const std::vector<PromptPart> SharedPrompt = {{1, 13000}, {2, 1000}};
+
+Work workWithSharedPart() {
+  Work work;
+  work.Service = "m";
+  work.Prompt = SharedPrompt;
+  return work;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(RelayBackends)
@@ -76,10 +86,7 @@
 BOOST_AUTO_TEST_CASE(SharedPromptsMeetUntilWorkPilesUp) {
   Backends b;
   applyList(b, entries(6), false, Start);
-  const std::vector<PromptPart> prompt = {{1, 13000}, {2, 1000}};
-  Work work;
-  work.Service = "m";
-  work.Prompt = prompt;
+  const Work work = workWithSharedPart();
   Random rng(1);
   const std::string home = choose(b, work, Start, rng).Server->Entry.Id;
   for (int i = 0; i < 20; ++i) {
@@ -87,7 +94,7 @@
     BOOST_TEST(it.Server->Entry.Id == home);
     BOOST_TEST(it.Holder == nullptr);
     onStarted(b, home, it.PendingTokens);
-    onFirstByte(b, home, it.PendingTokens, prompt);
+    onFirstByte(b, home, it.PendingTokens, SharedPrompt);
     onEnded(b, home, it.PendingTokens, true);
   }
   std::map<std::string, unsigned> chosen;
@@ -115,10 +122,7 @@
 BOOST_AUTO_TEST_CASE(PartsReadForOtherNodesAreFetched) {
   Backends b;
   applyList(b, entries(6), false, Start);
-  const std::vector<PromptPart> prompt = {{1, 13000}, {2, 1000}};
-  Work work;
-  work.Service = "m";
-  work.Prompt = prompt;
+  const Work work = workWithSharedPart();
   Random rng(1);
   const Choice cold = choose(b, work, Start, rng);
   BOOST_TEST(cold.PendingTokens == 14000);
@@ -142,14 +146,28 @@
   BOOST_TEST(fetched.Holder->Entry.Id == others[1]);
 }
 
+// Guards against a node that starts and drops what the others told it when its first list comes,
+// and against parts that a server held before it started again.
+BOOST_AUTO_TEST_CASE(HoldersAreKnownFromTheFirstListToTheNextStart) {
+  Backends b;
+  applyNews(b.Holders, {{{"e0", {1}}}});
+  auto list = entries(6);
+  applyList(b, list, false, Start);
+  const Work work = workWithSharedPart();
+  Random rng(1);
+  const Choice warm = choose(b, work, Start, rng);
+  BOOST_TEST(warm.Server->Entry.Id == "e0");
+  BOOST_TEST(warm.PendingTokens == 1000);
+  list[0].Born += 1;
+  applyList(b, list, false, later(1s));
+  BOOST_TEST(choose(b, work, later(1s), rng).PendingTokens == 14000);
+}
+
 // Guards against nodes that all send to one server because each sees only its own work.
 BOOST_AUTO_TEST_CASE(WorkOfOtherNodesCountsUntilItIsOld) {
   Backends b;
   applyList(b, entries(3), false, Start);
-  const std::vector<PromptPart> prompt = {{1, 13000}, {2, 1000}};
-  Work work;
-  work.Service = "m";
-  work.Prompt = prompt;
+  const Work work = workWithSharedPart();
   Random rng(1);
   const std::string home = choose(b, work, Start, rng).Server->Entry.Id;
   applyPeerLoads(b, "n2", {{{home, 100'000, 3}}}, Start);
