--- a/tools/lib/soak/__main__.py
+++ b/tools/lib/soak/__main__.py
@@ -9,6 +9,7 @@
 import random
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -31,6 +32,33 @@
 LAG = 0.12
 
 
+# Ports of one soak: five for each node, and one for each place for servers from SERVER_PORTS on.
+# Blocks lie between the ports of tools/chaos and of tools/demo.
+FIRST_PORT, LAST_PORT, BLOCK, SERVER_PORTS = 15000, 20700, 300, 200
+
+
+def bound(port):
+    it = socket.socket()
+    it.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    it.bind(("127.0.0.1", port))
+    return it
+
+
+def claim_block():
+    """(first port of a block in which no port is in use, socket that claims the block). The claim is
+    the block's last port, so that two soaks that start at once do not choose the same."""
+    for base in range(FIRST_PORT, LAST_PORT, BLOCK):
+        try:
+            claim = bound(base + BLOCK - 1)
+            claim.listen()
+            for port in range(base, base + BLOCK - 1):
+                bound(port).close()
+            return base, claim
+        except OSError:
+            continue
+    sys.exit("fault-soak: no free ports")
+
+
 @dataclass(eq=False)
 class Slot:
     """A place for backend servers, with one address for all that run there in turn."""
@@ -42,6 +70,7 @@
 class World:
     def __init__(self, options):
         self.options = options
+        self.port, self.claim = (options.port, None) if options.port else claim_block()
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="chervil-soak-"))
         # A copy, so that a build meanwhile does not change the program under a run.
         self.program = self.directory / "chervilcoursed"
@@ -79,11 +108,11 @@
         self.operator.write()
         for i in range(self.options.nodes):
             zone = ZONES[i % len(ZONES)]
-            self.nodes.append(Node(self, f"n-{zone}-{i}", zone, self.options.port + 5 * i))
+            self.nodes.append(Node(self, f"n-{zone}-{i}", zone, self.port + 5 * i))
         for node in self.nodes:
             await node.prepare()
         for i in range(APP_SERVERS + MODEL_SERVERS):
-            link = await Link.start(self.options.port + 200 + i)
+            link = await Link.start(self.port + SERVER_PORTS + i)
             zone = ZONES[i % len(ZONES)]
             server = Server(self, self.new_id(), "app" if i < APP_SERVERS else "model", zone,
                             random.Random(i))
@@ -177,7 +206,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--minutes", type=float, default=0.5)
     parser.add_argument("--nodes", type=int, default=5)
-    parser.add_argument("--port", type=int, default=16000)
+    parser.add_argument("--port", type=int, default=0, help="first of 300 ports; free ones if 0")
     parser.add_argument("--build", default="build/release")
     parser.add_argument("--calm", action="store_true")
     parser.add_argument("--keep", action="store_true")
--- a/tools/lib/soak/ledger.py
+++ b/tools/lib/soak/ledger.py
@@ -261,11 +261,16 @@
                     break
 
     def _check_quota(self, tenant, rate, burst):
-        began = sorted(r.began for r in self.runs if r.tenant == tenant and r.began)
+        # A request counts in a window in which it was both sent and run.
+        began = sorted((r.began, self.attempts[r.attempt].sent) for r in self.runs
+                       if r.tenant == tenant and r.began)
         bound = (rate * QUOTA_WINDOW + burst) * (1 + QUOTA_OVERSHOOT) + QUOTA_SLACK * rate
-        for i, at in enumerate(began):
-            n = sum(1 for t in began[i:] if t < at + QUOTA_WINDOW)
+        for _, at in began:
+            n = sum(1 for run, sent in began if sent >= at and run < at + QUOTA_WINDOW)
             if n > bound:
                 self.violate("QUOTA", f"{tenant}: {n} runs in {QUOTA_WINDOW:.0f} s, {bound:.0f} "
                                       f"are allowed, from {at:.2f}")
                 return
+        self.counts[f"most of {tenant}"] = max(
+            (sum(1 for run, sent in began if sent >= at and run < at + QUOTA_WINDOW)
+             for _, at in began), default=0)
