limits: nodes that cannot reach the home of a limit share a fifth of it, not two fifths

Cause: a node whose claim is not answered passes the home over for 2 s and claims from the node next in rank, which granted up to 0.4 of the limit beside the whole limit from the home. While links between nodes are cut for 4 s this is 0.4 x 20/s x 4 s = 32 runs above 170, where 33 are allowed with overshoot and slack; a second cut or a restart exceeded it.

Change: the part is 0.2: a tenth and 0.8 s of the rate in 8 s are tolerated, a fifth in all. The test of cut-off nodes bounds the home and the next in rank together (11,480 tokens with 0.4, 10,700 allowed, 9,840 with 0.2, calculated).

--- a/packages/limits/TokenHome.h
+++ b/packages/limits/TokenHome.h
@@ -52,8 +52,9 @@
 };
 
 /// Part of a limit that is granted beside the home, which may grant the whole limit at the same
-/// time. The sum of all such parts stays below what operators tolerate as overshoot.
-inline constexpr double FallbackPart = 0.4;
+/// time, and for as long as a link is cut. Operators tolerate a tenth of the limit and 0.8 s of its
+/// rate in 8 s, a fifth in all. With 0.4, cuts of 4 s exceeded it.
+inline constexpr double FallbackPart = 0.2;
 /// Depth of a bucket in time of its rate, for limits with a smaller burst or none: claims come up
 /// to some tenths of a second apart, and what was not granted between them must not be lost.
 inline constexpr Duration LeastDepth = std::chrono::milliseconds(250);
--- a/packages/limits/TokenTest.cpp
+++ b/packages/limits/TokenTest.cpp
@@ -147,6 +147,10 @@
   BOOST_TEST(granted(GrantRole::Home, {4, 7}) + 3 * granted(GrantRole::Home, {1, 7}) <= allowed);
   BOOST_TEST(granted(GrantRole::Home, {6, 7}) + granted(GrantRole::Alone, {6, 7}) <= allowed);
   BOOST_TEST(granted(GrantRole::Home, {4, 7}) >= 8 * 1000);
+  // The home and the node next in rank, both at the limit for the whole window: a tenth and 0.8 s
+  // of the rate are tolerated (fault soak, seed 338: 204 to 208 runs where 203 are allowed).
+  BOOST_TEST(granted(GrantRole::Home, {7, 7}) + granted(GrantRole::Fallback, {7, 7}) <=
+             allowed + 0.8 * 1000);
   // A fleet of one node is not cut off.
   BOOST_TEST(granted(GrantRole::Home, {1, 1}) >= 8 * 1000);
 }
