--- a/tools/lib/soak/faults.py
+++ b/tools/lib/soak/faults.py
@@ -46,10 +46,16 @@
             await asyncio.sleep(max(0.0, begin + at - self.world.now()))
             task = asyncio.create_task(self._one(kind, random.Random(seed)))
             self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            task.add_done_callback(self._ended)
         if self.tasks:
             await asyncio.wait(list(self.tasks))
 
+    def _ended(self, task):
+        self.tasks.discard(task)
+        # A fault that did not end as planned leaves its target disturbed.
+        if not task.cancelled() and task.exception() is not None:
+            self.ledger.violate("SOAK", f"a fault failed: {task.exception()!r}")
+
     async def _one(self, kind, rng):
         self.ledger.count("faults")
         self.world.log(f"fault: {kind.__name__}")
