http: a response is bounded in every direction, and its head may arrive before its body

Cause: servers in trouble send bytes without end, in a head or a body; the client read them until the time limit of the call. On the way a real fault was found: Beast compares an absent body limit as smaller than any length, so a response with a length failed when its head arrived before its body, and was kept until its end when both arrived in parts. Ruled out: the splitter of chunks and the collector of fields; the head was never reported (on_header_impl is not called after the limit error). The limit of the parser is the largest number.

--- a/packages/http/Client.cpp
+++ b/packages/http/Client.cpp
@@ -20,6 +20,9 @@
 // A server may close an idle connection at the end of the time it announced; a request that crosses
 // the close has an unknown outcome.
 constexpr Duration KeepAliveMargin = 700ms;
+// Bytes that the parser may leave unread while it waits for the end of a line: a head, or the line
+// that begins a chunk. A line without end would otherwise be collected without bound.
+constexpr std::size_t MaxUnparsedBytes = 4 * MaxResponseHeadBytes;
 
 struct Connection {
   Client *Owner = nullptr;
@@ -47,6 +50,9 @@
   bool HeadSeen = false;
   /// The response being read is not of this call.
   bool Ignoring = false;
+  /// Body bytes read, and responses skipped.
+  std::uint64_t Received = 0;
+  unsigned Skipped = 0;
 };
 
 } // namespace
@@ -87,7 +93,8 @@
     return;
   const std::unique_ptr<ActiveCall> call = std::move(it->second);
   client.Calls.erase(it);
-  const End end{failure, call->Link != nullptr && call->Link->Reused};
+  const End end{failure, call->Link != nullptr && call->Link->Reused,
+                call->Reader->EndsWithConnection};
   if (call->Link != nullptr && call->Link->CallId == id)
     dropConnection(*call->Link);
   if (call->Events.OnEnd)
@@ -113,6 +120,8 @@
   Client &client = *call.Link->Owner;
   Connection &link = *call.Link;
   const Duration idle = idleTimeOf(client, call.Reader->Head.Fields);
+  if (!link.In.empty())
+    ++client.Counters.TrailingBytes;
   const bool keep = call.Reader->KeepAlive && link.In.empty() && link.OutAt == link.Out.size() &&
                     idle > Duration{0} &&
                     client.Idle[link.Address].size() < client.Options.MaxIdlePerAddress;
@@ -169,10 +178,16 @@
     Connection &link = *call.Link;
     const std::size_t used = feed(*call.Reader, link.In);
     link.In.erase(0, used);
-    if (call.Reader->State == ReadState::Failed) {
+    call.Received += call.Reader->Body.size();
+    if (call.Reader->State == ReadState::Failed ||
+        (call.Reader->State != ReadState::Done && link.In.size() > MaxUnparsedBytes)) {
       endCall(client, id, Failure::Malformed);
       return;
     }
+    if (call.Received > call.What.MaxResponseBytes) {
+      endCall(client, id, Failure::TooLarge);
+      return;
+    }
     const bool interim = call.Reader->State != ReadState::Head && call.Reader->Head.Status >= 100 &&
                          call.Reader->Head.Status < 200;
     if (!interim && !handOn(client, id))
@@ -187,6 +202,10 @@
       endCall(client, id, Failure::Broken);
       return;
     }
+    if (++call.Skipped > MaxSkippedResponses) {
+      endCall(client, id, Failure::TooManyResponses);
+      return;
+    }
     call.Reader = std::make_unique<ResponseReader>();
     call.HeadSeen = call.Ignoring = false;
   }
@@ -354,6 +373,10 @@
     return "malformed";
   case Failure::Timeout:
     return "timeout";
+  case Failure::TooLarge:
+    return "too_large";
+  case Failure::TooManyResponses:
+    return "too_many_responses";
   }
   return "unknown";
 }
--- a/packages/http/Client.h
+++ b/packages/http/Client.h
@@ -20,6 +20,12 @@
 
 namespace chervil::http {
 
+/// Larger than any value or page of the store, which holds at most 1 MiB in base64.
+inline constexpr std::uint64_t DefaultMaxResponseBytes = std::uint64_t{8} << 20U;
+/// Interim responses and responses of other calls that are skipped in one call. A server sends a
+/// late copy of one response or a few interim heads, but a faulty one may send them without end.
+inline constexpr unsigned MaxSkippedResponses = 8;
+
 struct Call {
   /// IPv4 "ip:port".
   std::string Address;
@@ -28,6 +34,8 @@
   std::chrono::milliseconds ConnectTimeout{1000};
   /// Bound on the whole call; zero for none.
   std::chrono::milliseconds Timeout{0};
+  /// Bound on the body bytes that are read for the call, including those of skipped responses.
+  std::uint64_t MaxResponseBytes = DefaultMaxResponseBytes;
   /// False opens a new connection.
   bool ReuseConnection = true;
 };
@@ -41,6 +49,10 @@
   /// The bytes are not a response.
   Malformed,
   Timeout,
+  /// More body bytes than MaxResponseBytes.
+  TooLarge,
+  /// More skipped responses than MaxSkippedResponses.
+  TooManyResponses,
 };
 
 const char *toString(Failure failure);
@@ -49,6 +61,8 @@
   http::Failure Failure = Failure::None;
   /// The request went out on a connection that had carried an earlier one.
   bool Reused = false;
+  /// The response had no length and was ended by the orderly close of the connection.
+  bool EndedByClose = false;
 };
 
 struct CallEvents {
@@ -72,6 +86,8 @@
   std::uint64_t Opened = 0;
   std::uint64_t Reused = 0;
   std::uint64_t IgnoredResponses = 0;
+  /// Complete responses that were followed by bytes that belong to no call.
+  std::uint64_t TrailingBytes = 0;
 };
 
 /// Definition is internal to Client.cpp.
--- a/packages/http/Reader.cpp
+++ b/packages/http/Reader.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
+#include <limits>
 
 namespace chervil::http {
 namespace beast = boost::beast::http;
@@ -124,7 +125,11 @@
 }
 
 ResponseReader::ResponseReader() : Parser(new detail::ResponseParser) {
-  Parser->body_limit(boost::none);
+  // The caller bounds the body, because parts of it are taken while it is read. An absent limit
+  // compares as smaller than any length: the parser would then fail on a head that arrives before
+  // its body, and not report one that arrives with it.
+  Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+  Parser->header_limit(MaxResponseHeadBytes);
   Parser->eager(true);
 }
 
--- a/packages/http/Reader.h
+++ b/packages/http/Reader.h
@@ -50,6 +50,9 @@
 /// followed by more.
 std::size_t feed(RequestReader &reader, std::string_view bytes);
 
+/// Largest head of a response.
+inline constexpr std::uint32_t MaxResponseHeadBytes = 16 * 1024;
+
 struct ResponseReader {
   ResponseReader();
 
--- a/packages/http/ReaderTest.cpp
+++ b/packages/http/ReaderTest.cpp
@@ -100,6 +100,22 @@
   }
 }
 
+// Guards against a response that fails because its head arrives before its body, and against one
+// whose head is reported only with the end of its body.
+BOOST_AUTO_TEST_CASE(HeadMayArriveBeforeTheBody) {
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
+  ResponseReader apart;
+  BOOST_TEST(feed(apart, head) == head.size());
+  BOOST_TEST((apart.State == ReadState::Body));
+  BOOST_TEST(feed(apart, "hello") == 5U);
+  BOOST_TEST((apart.State == ReadState::Done));
+  BOOST_TEST(apart.Body == "hello");
+  ResponseReader partly;
+  (void)feed(partly, head + "he");
+  BOOST_TEST((partly.State == ReadState::Body));
+  BOOST_TEST(partly.Body == "he");
+}
+
 // Guards against bytes that are no response and are taken for one.
 BOOST_AUTO_TEST_CASE(GarbageFails) {
   ResponseReader reader;
