limits: large requests pass an exhausted limit, and refused callers get their turn

All refused callers were told the same short time and were refused again. Change: the home grants the first waiting request on credit, one at a time; nothing beyond waiting requests is granted while the limit is exhausted; Retry-After follows the requests refused before and how long the overload has lasted. Measured: LargeRequestsAreServedAsOftenAsSmallOnes and RefusedCallersReturnWhenTheLimitHasRoom, each against the old rule in the same run.

--- a/packages/limits/TokenTest.cpp
+++ b/packages/limits/TokenTest.cpp
@@ -9,8 +9,172 @@
 using namespace chervil::limits;
 using namespace std::chrono_literals;
 
+namespace {
+
+/// What the callers of an exhausted limit see.
+struct CallerCounts {
+  double SmallOffered = 0;
+  double SmallAdmitted = 0;
+  double LargeOffered = 0;
+  double LargeAdmitted = 0;
+  double AdmittedTokens = 0;
+  /// Of the callers that were refused in the second half of the overload.
+  unsigned Returned = 0;
+  unsigned ReturnedAdmitted = 0;
+};
+
+/// Nine nodes share a limit while a workspace asks for `Overload` times as much for OverloadTime,
+/// and then for AfterLoad times as much. Half of the requests are small, half are large. Callers
+/// return once after the time that they are told, or after Patience if that is shorter.
+struct OverloadedLimit {
+  static constexpr double Small = 1'000;
+  static constexpr double Large = 19'000;
+  static constexpr std::size_t Nodes = 9;
+  static constexpr Duration Patience = 7s;
+
+  struct Caller {
+    double Cost = 0;
+    bool Returned = false;
+    bool RefusedLate = false;
+  };
+
+  TokenLimit Limit{100'000, 100'000};
+  double Overload = 3.7;
+  Duration OverloadTime = 6s;
+  double AfterLoad = 0.5;
+  /// Claims carry what the first request lacks and what the waiting requests cost.
+  bool HasCredit = true;
+  bool HasTurns = true;
+  TokenHome Home;
+  std::vector<TokenAccount> Accounts{Nodes};
+  Now Time{TimePoint(1000s), WallTime(0s)};
+  std::map<std::uint64_t, Caller> Waiting;
+  TimePoint Start = Time.Steady;
+  std::multimap<TimePoint, Caller> Returns;
+  std::uint64_t NextId = 1;
+  CallerCounts Counts;
+
+  void onAdmitted(const Caller &it) {
+    Counts.AdmittedTokens += it.Cost;
+    if (it.Returned)
+      Counts.ReturnedAdmitted += it.RefusedLate ? 1 : 0;
+    else
+      (it.Cost == Small ? Counts.SmallAdmitted : Counts.LargeAdmitted) += 1;
+  }
+
+  void claim(TokenAccount &account) {
+    const auto amount = amountToClaim(account, Time);
+    if (!amount)
+      return;
+    const std::uint64_t seq = NextId++;
+    onClaimSent(account, seq, *amount, Time);
+    const message::TokenClaim message{"w",
+                                      seq,
+                                      *amount,
+                                      false,
+                                      HasCredit ? headShortfall(account) : 0,
+                                      HasTurns ? waitingCost(account) : 0};
+    const auto grant = grantClaim(Home, message, GrantRole::Home, Limit, {Nodes, Nodes}, Time);
+    const auto decided = onTokenGrant(account, seq, grant.Granted, Time);
+    for (const std::uint64_t it : decided.Admitted)
+      onAdmitted(Waiting.extract(it).mapped());
+    for (const std::uint64_t it : decided.Refused) {
+      const Caller caller = Waiting.extract(it).mapped();
+      if (!caller.Returned)
+        Returns.emplace(Time.Steady + std::min<Duration>(Patience, grant.RemainderAfter),
+                        Caller{caller.Cost, true, Time.Steady - Start > OverloadTime / 2});
+    }
+  }
+
+  void arrive(std::size_t node, const Caller &it) {
+    if (it.Returned)
+      Counts.Returned += it.RefusedLate ? 1 : 0;
+    else
+      (it.Cost == Small ? Counts.SmallOffered : Counts.LargeOffered) += 1;
+    TokenAccount &account = Accounts[node];
+    if (tryDebit(account, it.Cost, Time)) {
+      onAdmitted(it);
+    } else {
+      const std::uint64_t id = NextId++;
+      Waiting[id] = it;
+      enqueue(account, id, it.Cost);
+    }
+    claim(account);
+  }
+
+  CallerCounts run(std::uint64_t seed) {
+    Random rng(seed);
+    std::uniform_int_distribution<std::size_t> node(0, Nodes - 1);
+    std::bernoulli_distribution isLarge(0.5);
+    Home.Since = Time.Steady - 60s;
+    TimePoint next = Start;
+    while (Time.Steady < Start + 16s) {
+      Time.Steady += 10ms;
+      const double load = Time.Steady < Start + OverloadTime ? Overload : AfterLoad;
+      std::exponential_distribution<double> gap(load * Limit.Rate / ((Small + Large) / 2));
+      for (; next <= Time.Steady;
+           next += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap(rng))))
+        arrive(node(rng), {isLarge(rng) ? Large : Small, false});
+      while (!Returns.empty() && Returns.begin()->first <= Time.Steady) {
+        const Caller caller = Returns.begin()->second;
+        Returns.erase(Returns.begin());
+        arrive(node(rng), caller);
+      }
+      for (TokenAccount &it : Accounts)
+        if (!it.Waiting.empty())
+          claim(it);
+    }
+    return Counts;
+  }
+};
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(TokenLimits)
 
+// Guards against an exhausted limit that only small requests get through, because tokens never
+// accumulate to the cost of a large one. Load: 3.7 times the limit for 6 s on nine nodes.
+BOOST_AUTO_TEST_CASE(LargeRequestsAreServedAsOftenAsSmallOnes) {
+  BOOST_TEST(rc::check([] {
+    const std::uint64_t seed = *rc::gen::arbitrary<std::uint64_t>();
+    const CallerCounts it = OverloadedLimit{}.run(seed);
+    const double small = it.SmallAdmitted / it.SmallOffered;
+    const double large = it.LargeAdmitted / it.LargeOffered;
+    RC_ASSERT(large >= 0.6 * small);
+    RC_ASSERT(it.AdmittedTokens <= 16 * 100'000 + 100'000 + OverloadedLimit::Large);
+    const CallerCounts old = OverloadedLimit{.HasCredit = false, .HasTurns = false}.run(seed);
+    RC_ASSERT(large / small >
+              old.LargeAdmitted / old.LargeOffered * old.SmallOffered / old.SmallAdmitted);
+  }));
+}
+
+// Guards against refused callers who are all told to return while the limit is still exhausted, and
+// are refused again. Load: twice the limit for 3 s, then 0.4 of it, so that the requests beyond the
+// limit fit into the next 7 s. Callers that are refused in the first half cannot be told to return
+// after the overload, since it is expected to last as long again as it has lasted.
+BOOST_AUTO_TEST_CASE(RefusedCallersReturnWhenTheLimitHasRoom) {
+  BOOST_TEST(rc::check([] {
+    const auto seed = *rc::gen::inRange<std::uint64_t>(0, 1'000'000);
+    // A run has a few dozen returns; ten runs show the share.
+    const auto servedShare = [&](bool hasTurns) {
+      double served = 0;
+      double returned = 0;
+      for (std::uint64_t i = 0; i < 10; ++i) {
+        OverloadedLimit load{.Overload = 2, .OverloadTime = 3s, .AfterLoad = 0.4};
+        load.HasTurns = hasTurns;
+        const CallerCounts it = load.run(10 * seed + i);
+        served += it.ReturnedAdmitted;
+        returned += it.Returned;
+      }
+      return served / std::max(1.0, returned);
+    };
+    const double turns = servedShare(true);
+    const double atOnce = servedShare(false);
+    RC_ASSERT(turns >= 0.8);
+    RC_ASSERT(turns > atOnce);
+  }));
+}
+
 // Guards against the nodes together admitting more tokens than the limit plus one burst, and
 // against rejections while the limit is not used up, with requests of different sizes on unequally
 // loaded nodes.
