relay, fleet, daemon: bounded answers, stalled streams, loads of peers as sums, servers by need

Cause: answers of servers were collected without bound; a stalled stream that sent a byte now and then lived until its time limit; a stream that was ended by a close in the middle of an event passed for whole. A node of a large fleet summed all load reports anew at each of 160 reports a second. Reclaimable servers stayed ordered up to 75% of the bound whatever the load. Ruled out: skipped responses as crashes: they would bar a content. Change: bounds on one answer and on all, on an event, progress by data; PeerLoads keeps totals; the need counts running requests and decides the reclaimable servers: as many as survive two data centres, and one more each.

--- a/packages/daemon/edge/Edge.cpp
+++ b/packages/daemon/edge/Edge.cpp
@@ -44,6 +44,8 @@
   options.RetryRatio = settings.Edge.RetryPermille / 1000.0;
   options.RetrySlack = settings.Edge.RetrySlack;
   options.RetryWindow = settings.Edge.RetryWindow;
+  options.MaxAnswerBytes = settings.Edge.MaxAnswerBytes;
+  options.MaxCollectedBytes = settings.Edge.MaxCollectedBytes;
   return options;
 }
 
@@ -54,7 +56,8 @@
   return text.str();
 }
 
-/// Takes changed settings that can change while the node runs: those of retries and of the stop.
+/// Takes changed settings that can change while the node runs: those of retries, of the stop and of
+/// the size of answers.
 void reloadSettings(Edge &edge) {
   const std::string text = readText(edge.SettingsPath);
   if (text.empty() || text == edge.SettingsText)
@@ -69,6 +72,8 @@
   edge.Settings.Edge.RetryPermille = settings->Edge.RetryPermille;
   edge.Settings.Edge.RetrySlack = settings->Edge.RetrySlack;
   edge.Settings.Edge.RetryWindow = settings->Edge.RetryWindow;
+  edge.Settings.Edge.MaxAnswerBytes = settings->Edge.MaxAnswerBytes;
+  edge.Settings.Edge.MaxCollectedBytes = settings->Edge.MaxCollectedBytes;
   edge.Relay.Settings = relayOptions(edge.Settings);
   detail::logLine(edge, "settings", "reloaded", {});
 }
@@ -209,6 +214,9 @@
   setTotal(metrics, "backend_connections", "opened", static_cast<double>(calls.Opened));
   setTotal(metrics, "backend_connections", "reused", static_cast<double>(calls.Reused));
   setTotal(metrics, "backend_responses", "ignored", static_cast<double>(calls.IgnoredResponses));
+  setTotal(metrics, "backend_responses", "trailing_bytes",
+           static_cast<double>(calls.TrailingBytes));
+  setGauge(metrics, "collected_bytes", static_cast<double>(edge.Relay.CollectedBytes));
   setTotal(metrics, "log_lines", "dropped", static_cast<double>(edge.Log.Dropped));
   return serialise(metrics);
 }
--- a/packages/daemon/edge/EdgeEffects.cpp
+++ b/packages/daemon/edge/EdgeEffects.cpp
@@ -8,11 +8,17 @@
 using namespace std::chrono_literals;
 
 constexpr auto BackendConnectTimeout = 500ms;
+// The relay ends a call at the deadline of its request. This bound only catches a call that it has
+// lost track of.
+constexpr auto BackendCallMargin = 1000ms;
 
-relay::BackendEnd endOf(http::Failure failure) {
-  switch (failure) {
+relay::BackendEnd endOf(const http::End &end) {
+  switch (end.Failure) {
   case http::Failure::None:
-    return relay::BackendEnd::Complete;
+    return end.EndedByClose ? relay::BackendEnd::Closed : relay::BackendEnd::Complete;
+  case http::Failure::TooLarge:
+  case http::Failure::TooManyResponses:
+    return relay::BackendEnd::Excessive;
   case http::Failure::NotSent:
     return relay::BackendEnd::NotSent;
   default:
@@ -37,14 +43,14 @@
   };
   events.OnData = [&edge, id](std::string_view bytes) {
     handle(edge, [&edge, id, text = std::string(bytes)](relay::Effects &out, const Now &now) {
-      relay::onBackendBytes(edge.Relay, id, text, out, now);
+      relay::onBackendBytes(edge.Relay, id, text, out, now, edge.Rng);
     });
   };
   events.OnEnd = [&edge, id](const http::End &end) {
     if (end.Failure != http::Failure::None)
       count(edge.Counters, "backend_call_failed", http::toString(end.Failure));
-    handle(edge, [&edge, id, failure = end.Failure](relay::Effects &out, const Now &now) {
-      relay::onBackendEnd(edge.Relay, id, endOf(failure), out, now, edge.Rng);
+    handle(edge, [&edge, id, how = endOf(end)](relay::Effects &out, const Now &now) {
+      relay::onBackendEnd(edge.Relay, id, how, out, now, edge.Rng);
     });
     // The head is needed until the effects of the end are carried out.
     handle(edge, [&edge, id](relay::Effects &, const Now &) { edge.Calls.erase(id); });
@@ -61,6 +67,8 @@
       return;
     http::Call call = adapter::backendCall(request->second, e);
     call.ConnectTimeout = BackendConnectTimeout;
+    call.Timeout = e.Remaining + BackendCallMargin;
+    call.MaxResponseBytes = e.MaxAnswerBytes;
     E.Calls[e.Call] = {0, e.Request, {}};
     E.Calls[e.Call].HttpCall =
         http::startCall(*E.Backends, std::move(call), eventsOf(E, e.Call, e.AttemptId));
--- a/packages/daemon/edge/EdgeOrders.cpp
+++ b/packages/daemon/edge/EdgeOrders.cpp
@@ -67,7 +67,7 @@
     if (!service.Scaling)
       continue;
     fleet::ZoneTerms terms = termsOf(*service.Scaling, edge.Settings.Edge);
-    terms.BusyServers = relay::estimateBusyServers(edge.Relay, name, MaxLoadPeers, now);
+    terms.BusyServers = relay::estimateBusyServers(edge.Relay, name, now);
     const auto orders = fleet::planOrders(edge.Orders[name], terms, serversOf(edge, name), now);
     for (const fleet::ZoneOrder &it : orders)
       order(edge, name, it);
--- a/packages/daemon/edge/EdgePeers.cpp
+++ b/packages/daemon/edge/EdgePeers.cpp
@@ -132,7 +132,7 @@
   void operator()(const message::BackendListCopy &m) const { onListCopy(E, m); }
   void operator()(const message::BackendListDelta &m) const { onListDelta(E, Address, m); }
   void operator()(const message::BackendLoads &m) const {
-    relay::applyPeerLoads(E.Relay.Servers, From.Name, m, Time);
+    relay::onPeerLoads(E.Relay, From.Name, m, MaxLoadPeers, Time);
   }
   void operator()(const message::CachedPromptParts &m) const {
     relay::mergeHolders(E.Relay.Servers.PrefixCache, m);
@@ -257,7 +257,8 @@
 
 void claimTokens(Edge &edge, const relay::ClaimTokens &claim) {
   const Now now = net::readNow();
-  message::TokenClaim m{claim.Workspace, claim.Seq, claim.Amount, false};
+  message::TokenClaim m{claim.Workspace, claim.Seq,           claim.Amount,
+                        false,           claim.HeadShortfall, claim.WaitingCost};
   std::size_t rank = 0;
   for (const membership::Member *it : homesOf(edge, claim.Workspace)) {
     if (++rank > 2)
--- a/packages/fleet/ZoneOrders.cpp
+++ b/packages/fleet/ZoneOrders.cpp
@@ -109,7 +109,7 @@
                             const std::map<std::string, ZoneCount> &counts, const Now &now) {
   TargetCounts targets;
   for (const auto &[zone, price] : terms.Prices) {
-    targets[{zone, true}] = reclaimableTarget(terms);
+    targets[{zone, true}] = reclaimableTarget(terms, orders.Needed);
     targets[{zone, false}] = 0;
   }
   spreadOnDemand(targets, orders, terms, counts, requiredOnDemand(orders, now));
@@ -139,9 +139,12 @@
 
 } // namespace
 
-unsigned reclaimableTarget(const ZoneTerms &terms) {
-  const auto part = static_cast<unsigned>(std::ceil(terms.ReclaimableFraction * terms.Max - 1e-9));
-  return std::clamp(part, terms.Min, std::max(terms.Min, terms.Max));
+unsigned reclaimableTarget(const ZoneTerms &terms, unsigned needed) {
+  const auto zones = static_cast<unsigned>(terms.Prices.size());
+  const unsigned remaining = zones > LostZones ? zones - LostZones : 1;
+  const unsigned perZone = (needed + remaining - 1) / remaining + SpareServers;
+  const auto most = static_cast<unsigned>(std::ceil(terms.ReclaimableFraction * terms.Max - 1e-9));
+  return std::clamp(std::min(perZone, most), terms.Min, std::max(terms.Min, terms.Max));
 }
 
 unsigned neededServers(const ZoneTerms &terms) {
--- a/packages/fleet/ZoneOrders.h
+++ b/packages/fleet/ZoneOrders.h
@@ -34,7 +34,7 @@
   std::chrono::milliseconds BootTime{0};
   /// Relative price by data centre.
   std::map<std::string, double> Prices;
-  /// Target number of reclaimable servers in each data centre, as a fraction of Max.
+  /// Upper bound of the reclaimable servers in each data centre, as a fraction of Max.
   double ReclaimableFraction = 0.75;
   /// Number of servers needed before the load was measured, as a fraction of Max summed over all
   /// data centres.
@@ -108,8 +108,17 @@
 /// Minimum number of needed servers, as a fraction of Max summed over all data centres.
 inline constexpr double MinNeededFraction = 0.15;
 
-/// Target number of reclaimable servers in each data centre.
-unsigned reclaimableTarget(const ZoneTerms &terms);
+/// Number of data centres whose reclaimable servers may be missing at the same time without falling
+/// below the number of needed servers: the next data centre of a wave is reclaimed before the first
+/// has been refilled.
+inline constexpr unsigned LostZones = 2;
+/// Additional reclaimable servers in each data centre, for a third reclaim before the on-demand
+/// servers that replace the first two have booted.
+inline constexpr unsigned SpareServers = 1;
+
+/// Target number of reclaimable servers in each data centre: SpareServers more than leave `needed`
+/// servers in the other data centres while LostZones are reclaimed, within the bounds.
+unsigned reclaimableTarget(const ZoneTerms &terms, unsigned needed);
 /// Number of servers of both kinds that the load needs over all data centres.
 unsigned neededServers(const ZoneTerms &terms);
 
--- a/packages/fleet/ZoneOrdersTest.cpp
+++ b/packages/fleet/ZoneOrdersTest.cpp
@@ -109,7 +109,7 @@
     p.step();
   for (const auto &[zone, it] : p.counts()) {
     BOOST_TEST(it.OnDemand == 0U);
-    BOOST_TEST(it.Reclaimable == reclaimableTarget(p.Terms));
+    BOOST_TEST(it.Reclaimable == reclaimableTarget(p.Terms, p.Orders.Needed));
   }
 }
 
@@ -136,6 +136,39 @@
   BOOST_TEST(heavyMinimum >= 5U);
 }
 
+// Guards against reclaimable servers that are ordered up to the bound although the load needs few,
+// and against too few of them to survive a wave that reclaims two data centres.
+BOOST_AUTO_TEST_CASE(ReclaimableServersFollowTheNeed) {
+  ZoneTerms terms = Platform().Terms;
+  const auto zones = static_cast<unsigned>(terms.Prices.size());
+  for (unsigned needed = 0; needed <= terms.Max * zones; ++needed) {
+    const unsigned n = reclaimableTarget(terms, needed);
+    const bool isBounded = n == reclaimableTarget(terms, terms.Max * zones);
+    BOOST_TEST((isBounded || n * (zones - 2) >= needed));
+    BOOST_TEST((n <= terms.Min || (n - 1) * (zones - 2) < needed + zones - 2));
+  }
+}
+
+// Guards against paying for idle servers on a quiet day: the load keeps one server busy, and two
+// data centres are reclaimed one after the other.
+BOOST_AUTO_TEST_CASE(QuietDayCostsLess) {
+  Platform p;
+  p.Terms.BusyServers = 1;
+  unsigned minServing = 100;
+  for (int i = 0; i < 120; ++i) {
+    if (i == 40 || i == 52)
+      p.reclaim(i == 40 ? "a" : "c");
+    p.step();
+    minServing = std::min(minServing, p.serving());
+  }
+  BOOST_TEST(minServing >= neededServers(p.Terms));
+  // Servers at the bound of 75% in all data centres for as long, and the servers that are there at
+  // the start until these have booted.
+  const double prices = 1.0 + 0.8 + 1.25 + 0.9;
+  const double atBound = 60 * 5 * 0.15 * prices + 4.5 * 3 * prices;
+  BOOST_TEST(p.Cost < 0.8 * atBound);
+}
+
 // Guards against releasing servers during each short drop in load.
 BOOST_AUTO_TEST_CASE(NeededServersAreKeptDuringShortDrop) {
   Platform p;
--- a/packages/relay/ActiveRequest.h
+++ b/packages/relay/ActiveRequest.h
@@ -6,6 +6,7 @@
 #include "base/Time.h"
 #include "relay/Configuration.h"
 #include "relay/Effect.h"
+#include "relay/EventProgress.h"
 #include "relay/EventSplitter.h"
 #include "relay/RequestInfo.h"
 
@@ -79,6 +80,9 @@
   std::string Body;
   /// Splits the stream of the current call into events.
   EventSplitter Events;
+  /// How far the stream of the current call has come, and when it last made progress.
+  EventProgress Progress;
+  TimePoint LastProgress{};
   /// Id of the last event forwarded to the caller.
   std::string LastEvent;
 };
--- a/packages/relay/BackendEvents.cpp
+++ b/packages/relay/BackendEvents.cpp
@@ -1,9 +1,12 @@
 // Handles events of calls to backend servers: response heads, bytes of bodies, and ends.
 #include "relay/Relay.h"
+#include "relay/detail/BackendCalls.h"
 #include "relay/detail/Context.h"
 #include "relay/detail/Dispatch.h"
 #include "relay/detail/Outcome.h"
 
+#include <algorithm>
+
 namespace chervil::relay {
 namespace {
 
@@ -12,6 +15,10 @@
 
 // Retry-After if all servers that were tried were full.
 constexpr auto ServersFullRetryAfter = 800ms;
+// Largest event of a stream. An event without end would otherwise be collected without bound.
+constexpr std::size_t MaxEventBytes = 256 * 1024;
+// Answers up to this size are collected even if the bound of all answers is reached.
+constexpr std::size_t SmallAnswerBytes = 64 * 1024;
 
 /// Returns the request of a call; null if the call has ended.
 ActiveRequest *findRequest(State &state, CallId call) {
@@ -52,19 +59,38 @@
   request.LastFailure = why;
   ++request.PossibleRuns;
   recordOutcome(ctx.S.Servers, request.Backend, SendOutcome::Broken, ctx.Time);
+  detail::endCall(ctx, request, true);
+  if (!detail::retryRequest(ctx, request, true))
+    detail::refuse(ctx, request, why, 0ms);
+}
+
+/// Collects bytes of an answer. Returns false if there are too many.
+bool collect(State &state, ActiveRequest &request, std::string_view bytes) {
+  const std::size_t size = request.Body.size() + bytes.size();
+  const bool isCrowded = state.CollectedBytes + bytes.size() > state.Settings.MaxCollectedBytes;
+  if (size > state.Settings.MaxAnswerBytes || (isCrowded && size > SmallAnswerBytes))
+    return false;
+  request.Body.append(bytes);
+  state.CollectedBytes += bytes.size();
+  return true;
+}
+
+/// Handles a call whose connection ended. The server may have crashed while it ran the request.
+void onBroken(Context &ctx, ActiveRequest &request) {
   if (!request.GotFirstByte) {
     const message::CrashReport report = retry::recordCrash(
         ctx.S.Quarantine, request.Info.ContentHash, request.Backend, false, ctx.Time);
     ctx.Out.push_back(Gossip{report});
   }
-  detail::endCall(ctx, request, true);
-  if (!detail::retryRequest(ctx, request, true))
-    detail::refuse(ctx, request, why, 0ms);
+  onLost(ctx, request,
+         request.Status != 0 ? ResultCode::BackendBadAnswer : ResultCode::BackendDied);
 }
 
 /// Forwards bytes of a stream. On resumable routes, only complete events that the caller does not
 /// have yet are forwarded.
 void streamEvents(Context &ctx, ActiveRequest &request, std::string_view bytes) {
+  if (advance(request.Progress, bytes))
+    request.LastProgress = ctx.Time.Steady;
   if (!request.Route->Resumable) {
     ctx.Out.push_back(StreamBytes{request.Id, std::string(bytes)});
     return;
@@ -87,6 +113,14 @@
   return request.Route->Kind == RouteKind::Stream && request.IsGenuine && request.Status == 200;
 }
 
+/// Handles a call whose server sent more than an answer can hold.
+void onExcess(Context &ctx, ActiveRequest &request) {
+  ctx.Out.push_back(IncrementCounter{"backend_misbehaved", "excess"});
+  detail::logRequest(ctx, request, "answer_too_large",
+                     {{"collected", std::to_string(request.Body.size())}});
+  onLost(ctx, request, ResultCode::BackendBadAnswer);
+}
+
 /// Handles a call that ended with a complete answer.
 void onCompleteAnswer(Context &ctx, ActiveRequest &request) {
   if (isStreamed(request)) {
@@ -152,18 +186,20 @@
   }
 }
 
-void onBackendBytes(State &state, CallId call, std::string_view bytes, Effects &out,
-                    const Now &now) {
+void onBackendBytes(State &state, CallId call, std::string_view bytes, Effects &out, const Now &now,
+                    Random &rng) {
   ActiveRequest *request = findRequest(state, call);
   if (request == nullptr)
     return;
-  Random unused;
-  Context ctx{state, out, now, unused};
+  Context ctx{state, out, now, rng};
   onAnswerStarted(ctx, *request);
-  if (isStreamed(*request))
+  if (isStreamed(*request)) {
     streamEvents(ctx, *request, bytes);
-  else
-    request->Body.append(bytes);
+    if (request->Events.Partial.size() > MaxEventBytes)
+      onExcess(ctx, *request);
+  } else if (!collect(state, *request, bytes)) {
+    onExcess(ctx, *request);
+  }
 }
 
 void onBackendEnd(State &state, CallId call, BackendEnd end, Effects &out, const Now &now,
@@ -176,15 +212,47 @@
   case BackendEnd::Complete:
     onCompleteAnswer(ctx, *request);
     return;
+  case BackendEnd::Closed:
+    // A server that dies closes its connections too. Half an event shows it.
+    if (isStreamed(*request) && !request->Progress.AtBoundary)
+      onLost(ctx, *request, ResultCode::BackendBadAnswer);
+    else
+      onCompleteAnswer(ctx, *request);
+    return;
+  case BackendEnd::Excessive:
+    onExcess(ctx, *request);
+    return;
   case BackendEnd::NotSent:
     recordOutcome(state.Servers, request->Backend, SendOutcome::Broken, now);
     onRejected(ctx, *request, ResultCode::BackendConnectFailed);
     return;
   case BackendEnd::Broken:
-    onLost(ctx, *request,
-           request->Status != 0 ? ResultCode::BackendBadAnswer : ResultCode::BackendDied);
+    onBroken(ctx, *request);
     return;
   }
 }
 
+namespace detail {
+
+Duration stallTimeout(const Route &route) {
+  const Duration limit = std::max({MinStallTimeout, Duration(StallTargets * route.Target),
+                                   Duration(StallGaps * route.GapTarget)});
+  return route.Resumable ? limit / 2 : limit;
+}
+
+bool isStalled(const ActiveRequest &request, const Now &now) {
+  return request.Stage == Stage::Streaming && request.Call != 0 &&
+         now.Steady - request.LastProgress > stallTimeout(*request.Route);
+}
+
+void endStalledCall(Context &ctx, ActiveRequest &request) {
+  ctx.Out.push_back(IncrementCounter{"backend_misbehaved", "stalled"});
+  logRequest(ctx, request, "stalled",
+             {{"silent_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                               ctx.Time.Steady - request.LastProgress)
+                                               .count())}});
+  onLost(ctx, request, ResultCode::BackendTimeout);
+}
+
+} // namespace detail
 } // namespace chervil::relay
--- a/packages/relay/BackendHead.h
+++ b/packages/relay/BackendHead.h
@@ -21,10 +21,14 @@
 enum class BackendEnd : std::uint8_t {
   /// The answer is complete.
   Complete,
+  /// The answer has no length, and the server closed the connection in an orderly way.
+  Closed,
   /// No byte of the request was sent.
   NotSent,
   /// The answer was cut off or did not arrive.
   Broken,
+  /// The server sent more than an answer can hold, or bytes that are no answer. The call was ended.
+  Excessive,
 };
 
 } // namespace chervil::relay
--- a/packages/relay/Backends.cpp
+++ b/packages/relay/Backends.cpp
@@ -30,8 +30,6 @@
 // running request slows down the others.
 constexpr double TokensPerRunningRequest = 60;
 constexpr double ReferenceSlots = 64;
-// A load report of another node expires after this time.
-constexpr Duration PeerLoadLifetime = 1s;
 // Relative load added to servers in another data centre. They cost a network hop of about a
 // millisecond and traffic between data centres, so local servers are preferred at equal load.
 constexpr double RemoteDataCentrePenalty = 0.3;
@@ -111,10 +109,11 @@
 
 /// Prompt tokens, or their equivalent in running requests, that delay the first token of a new
 /// request.
-double queuedTokens(const Backend &it) {
-  return it.PendingTokens + it.PeersPendingTokens +
-         TokensPerRunningRequest * (it.Running + it.PeersRunning) * ReferenceSlots /
-             std::max(1U, it.Entry.Slots);
+double queuedTokens(const Backends &backends, const Backend &it) {
+  const PeerWork others = workOn(backends.Peers, it.Entry.Id);
+  return it.PendingTokens + backends.PeerScale * others.PendingTokens +
+         TokensPerRunningRequest * (it.Running + backends.PeerScale * others.Running) *
+             ReferenceSlots / std::max(1U, it.Entry.Slots);
 }
 
 /// Chooses the server with the lowest cost: its queued tokens plus, if it does not cache the
@@ -136,7 +135,7 @@
     const bool hasPrefix =
         holder == nullptr ? it == first : std::ranges::find(holders, it->Entry.Id) != holders.end();
     const double missing = hasPrefix ? 0 : it == first ? preference / 2 : preference;
-    const double cost = queuedTokens(*it) + missing;
+    const double cost = queuedTokens(backends, *it) + missing;
     if (best.Server != nullptr && cost >= bestCost)
       continue;
     const double toRead = holder == nullptr ? shared
@@ -248,21 +247,6 @@
   return {leastLoaded(backends, candidates, rng), 0, nullptr};
 }
 
-void applyPeerLoads(Backends &backends, const std::string &node, const message::BackendLoads &loads,
-                    const Now &now) {
-  backends.PeerLoads[node] = {now.Steady, loads};
-  std::erase_if(backends.PeerLoads,
-                [&](const auto &it) { return now.Steady - it.second.first > PeerLoadLifetime; });
-  for (auto &[id, it] : backends.Servers)
-    it.PeersRunning = it.PeersPendingTokens = 0;
-  for (const auto &[name, report] : backends.PeerLoads)
-    for (const message::BackendLoad &load : report.second.Loads)
-      if (Backend *it = find(backends, load.Backend)) {
-        it->PeersPendingTokens += load.PendingTokens;
-        it->PeersRunning += load.Running;
-      }
-}
-
 message::BackendLoads localLoads(const Backends &backends) {
   message::BackendLoads out;
   for (const auto &[id, it] : backends.Servers)
@@ -272,6 +256,15 @@
   return out;
 }
 
+double occupiedServers(const Backends &backends, std::string_view service) {
+  double occupied = 0;
+  for (const auto &[id, it] : backends.Servers)
+    if (it.Entry.Service == service)
+      occupied += (it.Running + backends.PeerScale * workOn(backends.Peers, id).Running) /
+                  std::max(1.0, double(it.Entry.Slots));
+  return occupied;
+}
+
 bool hasActiveServer(const Backends &backends, std::string_view service) {
   return std::ranges::any_of(backends.Servers, [&](const auto &it) {
     return !it.second.Leaving && it.second.Entry.Service == service;
--- a/packages/relay/Backends.h
+++ b/packages/relay/Backends.h
@@ -10,6 +10,7 @@
 #include "base/Time.h"
 #include "message/BackendLoads.h"
 #include "relay/BackendEntry.h"
+#include "relay/PeerLoads.h"
 #include "relay/PrefixCacheIndex.h"
 #include "relay/RequestInfo.h"
 
@@ -35,9 +36,6 @@
   /// Requests in flight whose answer has begun, and expected prompt tokens of the others.
   unsigned Running = 0;
   double PendingTokens = 0;
-  /// The same for all other nodes, from load reports not older than one second.
-  double PeersRunning = 0;
-  double PeersPendingTokens = 0;
   /// Smoothed fraction of recent answers that failed, 0 to 1.
   double FailureRate = 0;
   /// Connections or answers that failed since the last success.
@@ -67,8 +65,10 @@
   std::map<std::string, Backend> Servers;
   /// Servers that peers reported as leaving, by id. A report may precede the entry in the list.
   std::map<std::string, LeavingReport> LeavingReports;
-  /// Latest load report of each other node, with the time of its arrival.
-  std::map<std::string, std::pair<TimePoint, message::BackendLoads>> PeerLoads;
+  /// Work of the other nodes on the servers.
+  relay::PeerLoads Peers;
+  /// Extrapolates the work of the nodes that reported to all other nodes; 1 if all report.
+  double PeerScale = 1;
   PrefixCacheIndex PrefixCache;
 };
 
@@ -107,13 +107,12 @@
 /// if none is eligible.
 Choice chooseServer(const Backends &backends, const SelectionCriteria &criteria, const Now &now,
                     Random &rng);
-
-/// Stores the load report of another node in place of its previous one.
-void applyPeerLoads(Backends &backends, const std::string &node, const message::BackendLoads &loads,
-                    const Now &now);
 /// Returns the load that this node puts on each server, for the other nodes.
 message::BackendLoads localLoads(const Backends &backends);
 
+/// Number of servers of a service whose slots the running requests of all nodes would fill.
+double occupiedServers(const Backends &backends, std::string_view service);
+
 /// Returns true if the service has a server that is not leaving.
 bool hasActiveServer(const Backends &backends, std::string_view service);
 
--- a/packages/relay/BackendsTest.cpp
+++ b/packages/relay/BackendsTest.cpp
@@ -170,9 +170,9 @@
   const SelectionCriteria criteria = criteriaWithSharedPrefix();
   Random rng(1);
   const std::string home = chooseServer(b, criteria, Start, rng).Server->Entry.Id;
-  applyPeerLoads(b, "n2", {{{home, 100'000, 3}}}, Start);
+  applyReport(b.Peers, "n2", {{{home, 100'000, 3}}}, Start);
   BOOST_TEST(chooseServer(b, criteria, Start, rng).Server->Entry.Id != home);
-  applyPeerLoads(b, "n3", {}, later(5s));
+  applyReport(b.Peers, "n3", {}, later(5s));
   BOOST_TEST(chooseServer(b, criteria, later(5s), rng).Server->Entry.Id == home);
 }
 
--- a/packages/relay/Effect.h
+++ b/packages/relay/Effect.h
@@ -37,6 +37,8 @@
   /// Id of the event after which the stream continues; empty to send the value of the caller, if
   /// any.
   std::string ResumeAfter;
+  /// Bound on the bytes of the answer; more end the call with BackendEnd::Excessive.
+  std::uint64_t MaxAnswerBytes = 0;
   /// Address of a server from which the KV cache of the shared prompt prefix is fetched; empty for
   /// none.
   std::string FetchPrefixFrom;
@@ -92,6 +94,9 @@
   double Amount = 0;
   /// Number of the claim; repeated in the grant.
   std::uint64_t Seq = 0;
+  /// See message::TokenClaim.
+  double HeadShortfall = 0;
+  double WaitingCost = 0;
 };
 
 /// Send a message to some random peers.
--- a/packages/relay/Options.h
+++ b/packages/relay/Options.h
@@ -5,6 +5,7 @@
 #include "base/Time.h"
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 
 namespace chervil::relay {
@@ -19,6 +20,11 @@
   double RetrySlack = 50;
   /// Sliding window in which first sends and retries are counted.
   std::chrono::milliseconds RetryWindow{10000};
+  /// Largest answer that is collected before it is forwarded.
+  std::uint64_t MaxAnswerBytes = std::uint64_t{4} << 20U;
+  /// Bound on the bytes of all answers that are being collected. Answers up to a small size are
+  /// collected beyond it.
+  std::uint64_t MaxCollectedBytes = std::uint64_t{48} << 20U;
 };
 
 } // namespace chervil::relay
--- a/packages/relay/Relay.cpp
+++ b/packages/relay/Relay.cpp
@@ -1,5 +1,6 @@
 #include "relay/Relay.h"
 
+#include "relay/detail/BackendCalls.h"
 #include "relay/detail/Context.h"
 #include "relay/detail/Dispatch.h"
 #include "relay/detail/Outcome.h"
@@ -106,23 +107,28 @@
   return out;
 }
 
+void onPeerLoads(State &state, const std::string &node, const message::BackendLoads &loads,
+                 std::size_t reportFanout, const Now &now) {
+  applyReport(state.Servers.Peers, node, loads, now);
+  const std::size_t peers = state.LiveNodes - std::min<std::size_t>(1, state.LiveNodes);
+  const std::size_t reporting = state.Servers.Peers.Reports.size();
+  state.Servers.PeerScale =
+      peers > reportFanout ? std::max(1.0, double(peers) / double(reporting)) : 1;
+}
+
 std::optional<double> estimateBusyServers(const State &state, const std::string &service,
-                                          std::size_t reportFanout, const Now &now) {
+                                          const Now &now) {
   const auto own = state.PrefillDemands.find(service);
   if (own == state.PrefillDemands.end() || own->second.PrefillTokensPerMs <= 0)
     return std::nullopt;
   double others = 0;
-  std::size_t reportingPeers = 0;
-  for (const auto &[node, report] : state.Servers.PeerLoads) {
-    ++reportingPeers;
-    for (const message::ServiceDemand &it : report.second.Demands)
+  for (const auto &[node, report] : state.Servers.Peers.Reports)
+    for (const message::ServiceDemand &it : report.Loads.Demands)
       others += it.Service == service ? it.TokensPerSecond : 0;
-  }
-  const std::size_t peers = state.LiveNodes - std::min<std::size_t>(1, state.LiveNodes);
-  if (peers > reportFanout && reportingPeers > 0)
-    others *= double(peers) / double(reportingPeers);
-  return (prefillTokensPerSecond(own->second, now) + others) /
-         (own->second.PrefillTokensPerMs * 1000);
+  const double prefill =
+      (prefillTokensPerSecond(own->second, now) + others * state.Servers.PeerScale) /
+      (own->second.PrefillTokensPerMs * 1000);
+  return prefill + occupiedServers(state.Servers, service);
 }
 
 void onBackendList(State &state, std::span<const BackendEntry> list, bool keepMissing, Effects &out,
@@ -238,18 +244,24 @@
     if (!account.Waiting.empty())
       detail::claimTokensIfNeeded(ctx, workspace, account);
   std::vector<RequestId> timedOut;
+  std::vector<RequestId> stalled;
   std::vector<ActiveRequest *> waiting;
   for (auto &[id, request] : state.ActiveRequests) {
     if (now.Steady >= request.GiveUp)
       timedOut.push_back(id);
     else if (request.Stage == Stage::WaitingForServer)
       waiting.push_back(&request);
+    else if (detail::isStalled(request, now))
+      stalled.push_back(id);
   }
   std::ranges::sort(waiting, [](const ActiveRequest *a, const ActiveRequest *b) {
     return std::tie(a->Priority, a->Arrived, a->Id) < std::tie(b->Priority, b->Arrived, b->Id);
   });
   for (ActiveRequest *it : waiting)
     detail::dispatch(ctx, *it);
+  for (const RequestId id : stalled)
+    if (const auto it = state.ActiveRequests.find(id); it != state.ActiveRequests.end())
+      detail::endStalledCall(ctx, it->second);
   for (const RequestId id : timedOut)
     if (const auto it = state.ActiveRequests.find(id); it != state.ActiveRequests.end())
       detail::refuseTimedOut(ctx, it->second);
--- a/packages/relay/Relay.h
+++ b/packages/relay/Relay.h
@@ -44,6 +44,8 @@
   /// The node is about to stop and refuses new requests.
   bool RefusesRequests = false;
   std::unordered_map<RequestId, ActiveRequest> ActiveRequests;
+  /// Bytes of the answers that are being collected.
+  std::uint64_t CollectedBytes = 0;
   /// Open calls and their requests.
   std::unordered_map<CallId, RequestId> Calls;
   /// Rate limit accounts, by workspace.
@@ -69,12 +71,16 @@
 /// service.
 message::BackendLoads buildLoadReport(const State &state, const Now &now);
 
-/// Estimates how many servers of a service the prefill demand of all nodes keeps fully busy. Empty
-/// until this node has measured how fast a server reads prompts. `reportFanout` is the number of
-/// nodes to which each node reports its load; if there are more nodes than that, the demand of the
-/// others is extrapolated from those that reported.
+/// Handles the load report of another node. `reportFanout` is the number of nodes to which each
+/// node reports; in a larger fleet, the work of the nodes that reported lately stands for all.
+void onPeerLoads(State &state, const std::string &node, const message::BackendLoads &loads,
+                 std::size_t reportFanout, const Now &now);
+
+/// Estimates how many servers of a service the demand of all nodes keeps fully busy: with reading
+/// prompts, and with running requests in all of their slots. Empty until this node has measured how
+/// fast a server reads prompts.
 std::optional<double> estimateBusyServers(const State &state, const std::string &service,
-                                          std::size_t reportFanout, const Now &now);
+                                          const Now &now);
 
 /// Handles a new list of backend servers; see applyList().
 void onBackendList(State &state, std::span<const BackendEntry> list, bool keepMissing, Effects &out,
@@ -95,8 +101,8 @@
 /// of unknown calls are ignored.
 void onBackendHead(State &state, CallId call, const BackendHead &head, Effects &out, const Now &now,
                    Random &rng);
-void onBackendBytes(State &state, CallId call, std::string_view bytes, Effects &out,
-                    const Now &now);
+void onBackendBytes(State &state, CallId call, std::string_view bytes, Effects &out, const Now &now,
+                    Random &rng);
 void onBackendEnd(State &state, CallId call, BackendEnd end, Effects &out, const Now &now,
                   Random &rng);
 
@@ -106,8 +112,8 @@
 /// Handles a claim that the home node of a workspace did not answer.
 void onClaimLost(State &state, const std::string &workspace, Effects &out, const Now &now);
 
-/// Refuses requests that timed out and dispatches those that wait for a server. Call it about every
-/// 20 ms.
+/// Refuses requests that timed out, ends streams that make no progress, and dispatches requests
+/// that wait for a server. Call it about every 20 ms.
 void tick(State &state, Effects &out, const Now &now, Random &rng);
 
 } // namespace chervil::relay
--- /dev/null
+++ b/packages/relay/TroubledServersTest.cpp
@@ -0,0 +1,162 @@
+// Servers that send bytes without end, stop in the middle, or send nothing that counts.
+#include "relay/RelayFixture.h"
+#include "relay/detail/BackendCalls.h"
+
+#include <rapidcheck.h>
+
+using namespace chervil;
+using namespace chervil::relay;
+using namespace chervil::relay::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string Chunk(60'000, 'x');
+
+/// Sends bytes of a body until the call has ended; returns how many.
+std::size_t floodBody(Fixture &f, CallId call, std::size_t most) {
+  std::size_t sent = 0;
+  while (sent < most && f.S.Calls.contains(call)) {
+    f.bytes(call, Chunk);
+    sent += Chunk.size();
+  }
+  return sent;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RelayTroubledServers)
+
+// Guards against an answer without end that fills the memory of the node, and against a refusal
+// that claims that the request did not run.
+BOOST_AUTO_TEST_CASE(AnswerWithoutEndIsBounded) {
+  Fixture f;
+  f.S.Settings.MaxAnswerBytes = 1'000'000;
+  f.request("/unsafe/x");
+  const CallId call = f.call().Call;
+  f.head(call, 200);
+  BOOST_TEST(floodBody(f, call, 10'000'000) < 1'100'000U);
+  BOOST_TEST(f.only<Refuse>().Status == 502);
+  BOOST_TEST(f.only<CancelBackend>().Call == call);
+  BOOST_TEST(f.S.CollectedBytes == 0U);
+  BOOST_TEST(f.S.Quarantine.Crashes.empty());
+}
+
+// Guards against an idempotent request that fails because one server sends without end.
+BOOST_AUTO_TEST_CASE(IdempotentRequestGoesToAnotherServer) {
+  Fixture f;
+  f.request("/safe/x");
+  const CallBackend first = f.call();
+  f.head(first.Call, 200);
+  floodBody(f, first.Call, 10'000'000);
+  const CallBackend second = f.call();
+  BOOST_TEST(second.Backend != first.Backend);
+  f.answer(second.Call, 200, "whole");
+  BOOST_TEST(f.only<ForwardAnswer>().Body == "whole");
+  BOOST_TEST(f.S.CollectedBytes == 0U);
+}
+
+// Guards against many answers that are each within their bound and together fill the memory, and
+// against small answers that suffer for them.
+BOOST_AUTO_TEST_CASE(CollectedAnswersShareOneBound) {
+  Fixture f(10);
+  f.S.Settings.MaxCollectedBytes = 5'000'000;
+  std::vector<CallId> calls;
+  for (int i = 0; i < 40; ++i) {
+    f.request("/unsafe/x");
+    calls.push_back(f.call().Call);
+    f.head(calls.back(), 200);
+  }
+  std::uint64_t most = 0;
+  for (int round = 0; round < 60; ++round)
+    for (const CallId it : calls) {
+      f.bytes(it, Chunk);
+      most = std::max(most, f.S.CollectedBytes);
+    }
+  BOOST_TEST(most < 5'000'000U + 40 * Chunk.size());
+  f.request("/safe/x");
+  f.answer(f.call().Call, 200, "small");
+  BOOST_TEST(f.all<ForwardAnswer>().back().Body == "small");
+}
+
+// Guards against an event without end that is collected without bound.
+BOOST_AUTO_TEST_CASE(EventWithoutEndIsBounded) {
+  Fixture f;
+  f.request("/resumed/x");
+  const CallId call = f.call().Call;
+  f.head(call, 200);
+  f.bytes(call, "id: 1\ndata: ");
+  BOOST_TEST(floodBody(f, call, 10'000'000) < 1'000'000U);
+  BOOST_TEST(f.all<CancelBackend>().size() == 1U);
+}
+
+// Guards against too many skipped responses that count as a crash of the server: three such servers
+// would bar the content.
+BOOST_AUTO_TEST_CASE(ExcessIsNoCrash) {
+  Fixture f;
+  f.request("/unsafe/x");
+  f.end(f.call().Call, BackendEnd::Excessive);
+  BOOST_TEST(f.only<Refuse>().Status == 502);
+  BOOST_TEST(f.S.Quarantine.Crashes.empty());
+}
+
+// Guards against a server that dies in the middle of an event and whose close passes for the end of
+// the stream.
+BOOST_AUTO_TEST_CASE(CloseWithinAnEventIsNoEnd) {
+  for (const bool whole : {false, true}) {
+    Fixture f;
+    f.request("/once/x");
+    const CallId call = f.call().Call;
+    f.head(call, 200);
+    f.bytes(call, whole ? "id: 1\ndata: a\n\n" : "id: 1\ndata: a");
+    f.end(call, BackendEnd::Closed);
+    BOOST_TEST(f.all<EndStream>().size() == (whole ? 1U : 0U));
+    BOOST_TEST(f.all<AbortStream>().size() == (whole ? 0U : 1U));
+  }
+}
+
+// Guards against a stalled stream that lives because its server sends a byte now and then, and
+// against a slow one that is cut although it makes progress.
+BOOST_AUTO_TEST_CASE(StalledStreamsEndAndSlowOnesLive) {
+  BOOST_TEST(rc::check([] {
+    Fixture f;
+    f.request("/once/x");
+    const CallId call = f.call().Call;
+    f.S.ActiveRequests.begin()->second.GiveUp = f.Time.Steady + 1h;
+    f.head(call, 200);
+    const Duration limit = detail::stallTimeout(f.S.Config->Routes[2]);
+    const auto gap = [&](int percent) { return limit * percent / 100; };
+    for (int i = 0; i < 30; ++i) {
+      f.wait(gap(*rc::gen::inRange(1, 97)));
+      RC_ASSERT(f.all<AbortStream>().empty());
+      f.bytes(call, "id: " + std::to_string(i) + "\ndata: a\n\n");
+    }
+    const std::string noise =
+        *rc::gen::element<std::string>("\n", ": c\n\n", "data:\n\n", "x", "event: ping\n\n");
+    const TimePoint stalled = f.Time.Steady;
+    while (f.all<AbortStream>().empty()) {
+      RC_ASSERT(f.Time.Steady - stalled <= limit + gap(30));
+      f.bytes(call, noise);
+      f.wait(gap(*rc::gen::inRange(5, 30)));
+    }
+    RC_ASSERT(f.S.ActiveRequests.empty());
+  }));
+}
+
+// Guards against a resumable stream that breaks off at the caller because its server is silent,
+// while another server could continue it.
+BOOST_AUTO_TEST_CASE(StalledResumableStreamGoesOnElsewhere) {
+  Fixture f;
+  f.request("/resumed/x");
+  const CallBackend first = f.call();
+  f.S.ActiveRequests.begin()->second.GiveUp = f.Time.Steady + 1h;
+  f.head(first.Call, 200);
+  f.bytes(first.Call, "id: 1\ndata: a\n\n");
+  f.wait(detail::stallTimeout(f.S.Config->Routes[3]) + 1ms);
+  const CallBackend second = f.call();
+  BOOST_TEST(second.Backend != first.Backend);
+  BOOST_TEST(second.ResumeAfter == "1");
+  BOOST_TEST(f.only<CancelBackend>().Call == first.Call);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/packages/relay/detail/Dispatch.cpp
+++ b/packages/relay/detail/Dispatch.cpp
@@ -17,6 +17,9 @@
 constexpr double MaxQueueTimeFraction = 0.5;
 // A request with less time left than this is not sent, because it would not be answered in time.
 constexpr Duration MinTimeLeftToSend = 30ms;
+// Bound on the bytes of a stream per output token that the request asks for. A token is a few
+// bytes; an event with one token adds its id and its JSON.
+constexpr std::uint64_t MaxBytesPerToken = 1024;
 // Additional sends of a request for those that servers rejected without running it.
 constexpr unsigned MaxRejectedSends = 3;
 
@@ -36,6 +39,15 @@
   return it == request.Configuration->Services.end() ? nullptr : &it->second;
 }
 
+/// Bound on the bytes of an answer. A stream is forwarded and not collected, so that it may be as
+/// long as its tokens.
+std::uint64_t maxAnswerBytes(const State &state, const ActiveRequest &request) {
+  const std::uint64_t bound = state.Settings.MaxAnswerBytes;
+  if (request.Route->Kind != RouteKind::Stream)
+    return bound;
+  return std::max(bound, MaxBytesPerToken * request.Info.OutputTokens);
+}
+
 void send(Context &ctx, ActiveRequest &request, const Choice &choice) {
   const Backend &server = *choice.Server;
   State &state = ctx.S;
@@ -45,8 +57,10 @@
   request.TriedServers.push_back(server.Entry.Id);
   request.Status = 0;
   request.IsGenuine = request.GotFirstByte = false;
-  request.Body.clear();
+  dropCollected(state, request);
   request.Events = {};
+  request.Progress = {};
+  request.LastProgress = ctx.Time.Steady;
   if (request.Stage != Stage::Streaming)
     request.Stage = Stage::Running;
   state.Calls.emplace(request.Call, request.Id);
@@ -66,6 +80,7 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(request.Deadline - ctx.Time.Steady);
   call.Priority = request.Priority;
   call.ResumeAfter = request.LastEvent;
+  call.MaxAnswerBytes = maxAnswerBytes(state, request);
   if (choice.PrefixSource != nullptr && choice.PrefixSource != choice.Server)
     call.FetchPrefixFrom = choice.PrefixSource->Entry.Address;
   ctx.Out.push_back(std::move(call));
@@ -150,7 +165,8 @@
     return;
   const std::uint64_t seq = ctx.S.NextClaim++;
   limits::onClaimSent(account, seq, *amount, ctx.Time);
-  ctx.Out.push_back(ClaimTokens{workspace, *amount, seq});
+  ctx.Out.push_back(ClaimTokens{workspace, *amount, seq, limits::headShortfall(account),
+                                limits::waitingCost(account)});
 }
 
 } // namespace chervil::relay::detail
--- a/packages/relay/detail/Outcome.cpp
+++ b/packages/relay/detail/Outcome.cpp
@@ -2,6 +2,8 @@
 
 #include "relay/detail/Dispatch.h"
 
+#include <utility>
+
 namespace chervil::relay::detail {
 namespace {
 
@@ -77,7 +79,8 @@
   ctx.Out.push_back(
       IncrementCounter{"answered", request.Status < 400 ? "success" : "backend_failure"});
   logRequest(ctx, request, "answered", {{"status", std::to_string(request.Status)}});
-  ctx.Out.push_back(ForwardAnswer{request.Id, request.Call, std::move(request.Body)});
+  ctx.S.CollectedBytes -= request.Body.size();
+  ctx.Out.push_back(ForwardAnswer{request.Id, request.Call, std::exchange(request.Body, {})});
   endCall(ctx, request, false);
   removeRequest(ctx, request);
 }
@@ -90,7 +93,13 @@
   removeRequest(ctx, request);
 }
 
+void dropCollected(State &state, ActiveRequest &request) {
+  state.CollectedBytes -= request.Body.size();
+  request.Body = {};
+}
+
 void removeRequest(Context &ctx, ActiveRequest &request) {
+  dropCollected(ctx.S, request);
   if (!request.Workspace.empty()) {
     const auto it = ctx.S.Accounts.find(request.Workspace);
     if (it != ctx.S.Accounts.end()) {
--- a/packages/relay/detail/Outcome.h
+++ b/packages/relay/detail/Outcome.h
@@ -22,6 +22,9 @@
 /// Ends a streamed answer that is complete.
 void completeStream(Context &ctx, ActiveRequest &request);
 
+/// Discards the part of the answer that was collected.
+void dropCollected(State &state, ActiveRequest &request);
+
 /// Removes a request without answering it. If it did not run, its tokens are returned to its
 /// workspace.
 void removeRequest(Context &ctx, ActiveRequest &request);
--- a/packages/settings/NodeSettings.h
+++ b/packages/settings/NodeSettings.h
@@ -106,6 +106,8 @@
   std::uint32_t RetryPermille = 0;
   std::uint32_t RetrySlack = 0;
   std::chrono::milliseconds RetryWindow{0};
+  std::uint64_t MaxAnswerBytes = 0;
+  std::uint64_t MaxCollectedBytes = 0;
   std::uint32_t ReclaimablePercent = 0;
   std::uint32_t NeededPercent = 0;
 };
--- a/packages/settings/SettingKeys.cpp
+++ b/packages/settings/SettingKeys.cpp
@@ -199,6 +199,13 @@
      at<&S::Edge, &EdgeSection::RetrySlack>},
     {"edge", "retry_window", Duration, "10s", Second, Hour, "Time over which repeats are counted.",
      at<&S::Edge, &EdgeSection::RetryWindow>},
+    {"edge", "max_answer_bytes", Size, "4MiB", 64 * KiB, GiB,
+     "Largest answer of a backend server that is not streamed.",
+     at<&S::Edge, &EdgeSection::MaxAnswerBytes>},
+    {"edge", "max_collected_bytes", Size, "48MiB", MiB, GiB,
+     "Bound on the bytes of all answers that are being received; answers up to 64 KiB are received "
+     "beyond it.",
+     at<&S::Edge, &EdgeSection::MaxCollectedBytes>},
 
     {"edge", "reclaimable_percent", Percent, "75", 0, 100,
      "Reclaimable backend servers ordered per data centre, as part of the bound on servers there.",
