--- a/packages/http/ClientTest.cpp
+++ b/packages/http/ClientTest.cpp
@@ -1,7 +1,5 @@
 #include "http/TestNet.h"
 
-#include "net/SocketAddress.h"
-
 #include <boost/test/unit_test.hpp>
 
 using namespace chervil;
@@ -20,17 +18,7 @@
   std::vector<int> Statuses;
   std::string Body;
 
-  Fixture() {
-    Listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    (void)bind(Listener, reinterpret_cast<sockaddr *>(&address), sizeof(address));
-    (void)listen(Listener, 8);
-    socklen_t n = sizeof(address);
-    (void)getsockname(Listener, reinterpret_cast<sockaddr *>(&address), &n);
-    Address = net::formatAddress(address);
-  }
+  Fixture() { Listener = listenOnLoopback(Address); }
   ~Fixture() { close(Listener); }
 
   std::uint64_t call(std::function<bool(const ResponseHead &)> accepts = {}, Call what = {}) {
--- a/packages/http/EndlessResponseTest.cpp
+++ b/packages/http/EndlessResponseTest.cpp
@@ -2,8 +2,6 @@
 // begins a chunk, or as responses of other calls.
 #include "http/TestNet.h"
 
-#include "net/SocketAddress.h"
-
 #include <boost/test/unit_test.hpp>
 #include <fstream>
 #include <list>
@@ -35,15 +33,7 @@
 
   FloodingServers(std::string prefix, std::string repeated)
       : Prefix(std::move(prefix)), Repeated(std::move(repeated)) {
-    Listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    (void)bind(Listener, reinterpret_cast<sockaddr *>(&address), sizeof(address));
-    (void)listen(Listener, 64);
-    socklen_t n = sizeof(address);
-    (void)getsockname(Listener, reinterpret_cast<sockaddr *>(&address), &n);
-    Address = net::formatAddress(address);
+    Listener = listenOnLoopback(Address);
   }
   FloodingServers(const FloodingServers &) = delete;
   FloodingServers &operator=(const FloodingServers &) = delete;
--- a/packages/http/TestNet.h
+++ b/packages/http/TestNet.h
@@ -4,6 +4,7 @@
 
 #include "http/Client.h"
 #include "http/Server.h"
+#include "net/SocketAddress.h"
 
 #include <arpa/inet.h>
 #include <functional>
@@ -42,6 +43,20 @@
   return fd;
 }
 
+/// A listening socket on a free port of this machine. Stores its "ip:port".
+inline int listenOnLoopback(std::string &address) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  sockaddr_in bound{};
+  bound.sin_family = AF_INET;
+  bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  (void)bind(fd, reinterpret_cast<sockaddr *>(&bound), sizeof(bound));
+  (void)listen(fd, 64);
+  socklen_t n = sizeof(bound);
+  (void)getsockname(fd, reinterpret_cast<sockaddr *>(&bound), &n);
+  address = net::formatAddress(bound);
+  return fd;
+}
+
 inline void sendText(int fd, const std::string &text) {
   (void)!::send(fd, text.data(), text.size(), MSG_NOSIGNAL);
 }
