--- a/packages/daemon/edge/EdgePeers.cpp
+++ b/packages/daemon/edge/EdgePeers.cpp
@@ -350,6 +350,8 @@
   if (!relay::configure(edge.Relay,
                         std::make_shared<const relay::Configuration>(std::move(*parsed))))
     return;
+  edge.Relay.ConfigStatus.Source = source;
+  edge.Relay.ConfigStatus.InForceSince = net::readNow().Steady;
   logLine(edge, "config", "in_force",
           {{"version", std::to_string(edge.Relay.Config->Version)},
            {"before", std::to_string(present)},
--- a/packages/daemon/edge/EdgeStore.cpp
+++ b/packages/daemon/edge/EdgeStore.cpp
@@ -26,6 +26,12 @@
   applyConfiguration(edge, 0, it->second.Value, "store");
 }
 
+/// The store has answered a reading or a watch of the operators' items.
+void onOperatorAnswer(Edge &edge) {
+  if (store::isComplete(edge.OperatorItems))
+    edge.Relay.ConfigStatus.NewestAt = net::readNow().Steady;
+}
+
 void noteBadEntry(Edge &edge, const std::string &key, const std::string &why) {
   count(edge.Counters, "bad_backend_entry", "unreadable");
   if (edge.BadEntries.insert(key).second)
@@ -96,6 +102,8 @@
     logLine(edge, "store", "regained", {{"prefix", mirror.Options.Prefix}});
     restartWatches(edge, mirror);
   }
+  if (&mirror == &edge.OperatorItems)
+    onOperatorAnswer(edge);
   if (changed)
     onChanged(edge);
 }
--- a/packages/relay/BackendEvents.cpp
+++ b/packages/relay/BackendEvents.cpp
@@ -248,9 +248,7 @@
 void endStalledCall(Context &ctx, ActiveRequest &request) {
   ctx.Out.push_back(IncrementCounter{"backend_misbehaved", "stalled"});
   logRequest(ctx, request, "stalled",
-             {{"silent_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
-                                               ctx.Time.Steady - request.LastProgress)
-                                               .count())}});
+             {{"silent_ms", formatMillis(ctx.Time.Steady - request.LastProgress)}});
   onLost(ctx, request, ResultCode::BackendTimeout);
 }
 
--- a/packages/relay/Configuration.h
+++ b/packages/relay/Configuration.h
@@ -5,6 +5,7 @@
 #ifndef CHERVIL_RELAY_CONFIGURATION_H
 #define CHERVIL_RELAY_CONFIGURATION_H
 
+#include "base/Time.h"
 #include "relay/Route.h"
 #include "relay/Service.h"
 #include "relay/Workspace.h"
@@ -13,6 +14,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -43,6 +45,15 @@
 
 using ConfigurationPtr = std::shared_ptr<const Configuration>;
 
+/// Where the configuration in force came from and how fresh it is.
+struct ConfigurationStatus {
+  /// "store", or "peer" if another node sent it.
+  std::string Source;
+  TimePoint InForceSince{};
+  /// Last time at which it was known to be the newest version; empty if that was never known.
+  std::optional<TimePoint> NewestAt;
+};
+
 /// Returns the configuration with RoutesByHost and WorkspaceByKey filled.
 Configuration buildIndexes(Configuration configuration);
 
--- a/packages/relay/Relay.cpp
+++ b/packages/relay/Relay.cpp
@@ -46,16 +46,29 @@
                         : workspace.DefaultTokens;
 }
 
+/// Version, source and age of the configuration that a decision is based on.
+void appendConfigurationFields(const State &state, const Now &now, detail::LogFields &fields) {
+  if (state.Config == nullptr)
+    return;
+  const ConfigurationStatus &status = state.ConfigStatus;
+  fields.emplace_back("config", std::to_string(state.Config->Version));
+  fields.emplace_back("config_source", status.Source);
+  fields.emplace_back("config_in_force_ms", detail::formatMillis(now.Steady - status.InForceSince));
+  if (status.NewestAt)
+    fields.emplace_back("config_confirmed_ms", detail::formatMillis(now.Steady - *status.NewestAt));
+}
+
 /// Refuses a request that has not been admitted.
 void refuseUnadmitted(Context &ctx, RequestId id, const RequestInfo &info, ResultCode code,
                       int status, std::chrono::milliseconds retryAfter) {
   ctx.Out.push_back(Refuse{id, code, status, retryAfter});
   ctx.Out.push_back(IncrementCounter{"refused", chervil::info(code).Name});
-  ctx.Out.push_back(LogRecord{"refused",
-                              info.AttemptId,
-                              {{"reason", chervil::info(code).Name},
-                               {"status", std::to_string(status)},
-                               {"path", info.Path}}});
+  detail::LogFields fields{{"reason", chervil::info(code).Name},
+                           {"status", std::to_string(status)},
+                           {"host", info.Host},
+                           {"path", info.Path}};
+  appendConfigurationFields(ctx.S, ctx.Time, fields);
+  ctx.Out.push_back(LogRecord{"refused", info.AttemptId, std::move(fields)});
 }
 
 /// Returns true if requests with this content have crashed too many servers.
--- a/packages/relay/Relay.h
+++ b/packages/relay/Relay.h
@@ -38,6 +38,8 @@
   Options Settings;
   /// Null until the first configuration.
   ConfigurationPtr Config;
+  /// Maintained by the caller of configure(); only logged here.
+  ConfigurationStatus ConfigStatus;
   Backends Servers;
   /// Number of live nodes, this one included. They share rate limits and retry budgets.
   std::size_t LiveNodes = 1;
--- a/packages/relay/detail/Context.h
+++ b/packages/relay/detail/Context.h
@@ -28,6 +28,9 @@
 /// request.
 void logRequest(Context &ctx, const ActiveRequest &request, const char *event, LogFields fields);
 
+/// Whole milliseconds, for log records.
+std::string formatMillis(Duration d);
+
 } // namespace chervil::relay::detail
 
 #endif
--- a/packages/relay/detail/Outcome.cpp
+++ b/packages/relay/detail/Outcome.cpp
@@ -16,10 +16,6 @@
 // Status of a request that timed out and may have run.
 constexpr int TimeoutStatus = 504;
 
-std::string millis(Duration d) {
-  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
-}
-
 void refuseWithStatus(Context &ctx, ActiveRequest &request, ResultCode code, int status,
                       std::chrono::milliseconds retryAfter) {
   const char *reason = chervil::info(code).Name;
@@ -36,6 +32,10 @@
 
 } // namespace
 
+std::string formatMillis(Duration d) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
+}
+
 void logRequest(Context &ctx, const ActiveRequest &request, const char *event, LogFields fields) {
   fields.emplace_back("route", request.Route->Name);
   fields.emplace_back("workspace", request.Workspace);
@@ -43,14 +43,14 @@
   fields.emplace_back("runs", std::to_string(request.PossibleRuns));
   fields.emplace_back("sends", std::to_string(request.TriedServers.size()));
   if (request.FirstByte != TimePoint{})
-    fields.emplace_back("first_byte_ms", millis(request.FirstByte - request.Arrived));
+    fields.emplace_back("first_byte_ms", formatMillis(request.FirstByte - request.Arrived));
   if (const auto part = sharedPrefixHash(request.Info.Prompt)) {
     fields.emplace_back("shared_part", std::to_string(*part));
     fields.emplace_back("shared_tokens", std::to_string(sharedPrefixTokens(request.Info.Prompt)));
     fields.emplace_back("prompt_tokens", std::to_string(request.Info.PromptTokens));
   }
-  fields.emplace_back("age_ms", millis(ctx.Time.Steady - request.Arrived));
-  fields.emplace_back("left_ms", millis(request.Deadline - ctx.Time.Steady));
+  fields.emplace_back("age_ms", formatMillis(ctx.Time.Steady - request.Arrived));
+  fields.emplace_back("left_ms", formatMillis(request.Deadline - ctx.Time.Steady));
   fields.emplace_back("config", std::to_string(request.Configuration->Version));
   ctx.Out.push_back(LogRecord{event, request.Info.AttemptId, std::move(fields)});
 }
