config, daemon: a node that lacks a version of the configuration requests it once; large ones are not forwarded

Cause: each node sent every version as a whole document to three random members. At 10 Mbit/s one version of 700 KB costs a node 1.7 s of its link, versions came every 0.33 s, and outdated ones were queued before the newest. Class: work per event without merging, on a link shared with answers. Change: nodes that learn a version from the store announce it to all; a node that lacks it requests it from one of those, one request at a time and 512 KiB/s on average, so that versions in between are skipped. Documents above 16 KiB are offered by digest instead of being forwarded or sent in answer to a digest. The check of EmptyNodeCatchesUpInBoundedAnswers on the answer to a digest is now on the answer to the request that follows, with the same bound, because the answer to a digest holds no large documents any more.

--- a/packages/config/Store.h
+++ b/packages/config/Store.h
@@ -2,6 +2,7 @@
 //   Effects e = onUpdate(store, update, now);     // DocUpdate from a peer, or from a watch
 //   Effects e = disseminate(store, liveMembers, rng, now);  // every DisseminationInterval
 //   Effects e = onPeerHash(store, peer, ack.DocsHash, now);
+//   noteVersion(store, name, version, peer);      // the peer announced that it holds this version
 // Not thread-safe: a store is used only on the thread of its node.
 #ifndef CHERVIL_CONFIG_STORE_H
 #define CHERVIL_CONFIG_STORE_H
@@ -38,6 +39,19 @@
 /// first document is always sent. The next exchange sends the rest.
 inline constexpr std::size_t MaxAnswerBytes = std::size_t{1} << 20U;
 
+/// Documents up to this size are forwarded as they are; of larger ones only the version is, and
+/// nodes that lack it request it. Forwarding sends each node several copies, and while versions
+/// follow each other quickly also outdated ones, which would fill the links of small nodes.
+inline constexpr std::size_t MaxForwardedBytes = std::size_t{16} << 10U;
+/// Average rate at which a node requests versions of one document. Two fifths of the slowest links,
+/// of 10 Mbit/s.
+inline constexpr std::size_t RequestBytesPerSecond = std::size_t{512} << 10U;
+/// Time after which a request without an answer is repeated, unless the document is so large that
+/// it takes longer at RequestBytesPerSecond.
+inline constexpr Duration RequestTimeout = std::chrono::seconds(1);
+/// Nodes remembered that hold a version that this node lacks.
+inline constexpr std::size_t MaxHolders = 16;
+
 /// The newest version of a document that the node has received.
 struct Document {
   std::uint64_t Version = 0;
@@ -52,6 +66,15 @@
   TimePoint Since{};
 };
 
+/// The newest version of a document that other nodes are known to hold.
+struct KnownVersion {
+  std::uint64_t Version = 0;
+  std::vector<NodeId> Holders;
+  std::optional<TimePoint> RequestedAt;
+  /// Nothing is requested before this time: a request is under way, or the last answer was large.
+  TimePoint NextRequest{};
+};
+
 /// The documents of one node by name, and the state of their distribution.
 struct Store {
   std::map<std::string, Document> Documents;
@@ -59,6 +82,8 @@
   std::uint64_t Hash = 0;
   /// Names of documents to forward in the next disseminate().
   std::vector<std::string> UpdatedNames;
+  /// Versions that other nodes hold, by name of the document.
+  std::map<std::string, KnownVersion> KnownVersions;
   /// When a document was last added or replaced.
   std::optional<TimePoint> LastChange;
   /// When this node last sent a digest.
@@ -83,9 +108,16 @@
 /// Applies an update from a peer or from a watch of the key-value service.
 Effects onUpdate(Store &store, const message::DocUpdate &update, const Now &now);
 
-/// Sends the documents that the peer lacks or holds in an older version, and requests those that
-/// this node lacks or holds in an older version.
-Effects onDigest(const Store &store, const NodeId &from, const message::DocDigest &digest);
+/// Sends the documents that the peer lacks or holds in an older version, or a digest for large ones,
+/// and requests those that this node lacks or holds in an older version, unless they have been
+/// requested already.
+Effects onDigest(Store &store, const NodeId &from, const message::DocDigest &digest,
+                 const Now &now);
+
+/// Remembers that a peer holds a version. If this node lacks it, disseminate() requests it from one
+/// of the peers that hold it.
+void noteVersion(Store &store, const std::string &name, std::uint64_t version,
+                 const NodeId &holder);
 
 /// Sends the requested documents, up to MaxAnswerBytes.
 Effects onRequest(const Store &store, const NodeId &from, const message::DocRequest &request);
@@ -95,7 +127,8 @@
 /// directions, and digests from both sides would double their traffic.
 Effects onPeerHash(Store &store, const NodeId &from, std::uint64_t hash, const Now &now);
 
-/// Sends each new document to DisseminationFanout random members, and a digest that is due.
+/// Sends each new document, or a digest if it is large, to DisseminationFanout random members;
+/// requests versions that other nodes hold; sends a digest that is due.
 /// `members` are the live members without this node.
 Effects disseminate(Store &store, std::span<const NodeId> members, Random &rng, const Now &now);
 
--- a/packages/config/StoreTest.cpp
+++ b/packages/config/StoreTest.cpp
@@ -52,7 +52,7 @@
       if (const auto *update = std::get_if<message::DocUpdate>(&message.Body))
         send(i, onUpdate(Stores[i], *update, now));
       else if (const auto *digest = std::get_if<message::DocDigest>(&message.Body))
-        send(i, onDigest(Stores[i], from, *digest));
+        send(i, onDigest(Stores[i], from, *digest, now));
       else if (const auto *request = std::get_if<message::DocRequest>(&message.Body))
         send(i, onRequest(Stores[i], from, *request));
     }
@@ -186,8 +186,17 @@
   for (int i = 0; i < 40; ++i)
     applyUpdate(fleet.Stores[0], {"d" + std::to_string(i), 1, std::string(100000, 'x')}, at(-1min));
   fleet.Stores[0].UpdatedNames.clear();
-  const Effects answer = onDigest(fleet.Stores[0], fleet.Ids[1], {});
-  BOOST_TEST(answer.Sends.size() == 10U);
+  // Large documents are offered; the answer to a request for all of them is bounded.
+  const Effects offer = onDigest(fleet.Stores[0], fleet.Ids[1], {}, at(0s));
+  BOOST_REQUIRE(offer.Sends.size() == 1U);
+  const auto *digest = std::get_if<message::DocDigest>(&offer.Sends[0].Body);
+  BOOST_REQUIRE(digest != nullptr);
+  Store empty;
+  const Effects request = onDigest(empty, fleet.Ids[0], *digest, at(0s));
+  BOOST_REQUIRE(request.Sends.size() == 1U);
+  const auto &names = std::get<message::DocRequest>(request.Sends[0].Body);
+  BOOST_TEST(names.Names.size() == 40U);
+  BOOST_TEST(onRequest(fleet.Stores[0], fleet.Ids[1], names).Sends.size() == 10U);
   fleet.Stores[1].UpdatedNames.clear();
   int rounds = 0;
   while (docsHash(fleet.Stores[0]) != docsHash(fleet.Stores[1]) && rounds < 200)
--- a/packages/daemon/edge/EdgeDetail.h
+++ b/packages/daemon/edge/EdgeDetail.h
@@ -28,8 +28,8 @@
 /// Live members without this node.
 std::vector<NodeId> otherMembers(const Edge &edge);
 /// Takes a configuration into force if it is newer, and passes it on. `version` is 0 if only the
-/// body tells it.
-void applyConfiguration(Edge &edge, std::uint64_t version, const std::string &body,
+/// body tells it. Returns whether it is in force now because of this call.
+bool applyConfiguration(Edge &edge, std::uint64_t version, const std::string &body,
                         const char *source);
 /// Tells all other nodes which configuration the store has confirmed to be the newest, and when.
 void announceConfiguration(Edge &edge);
--- a/packages/daemon/edge/EdgePeers.cpp
+++ b/packages/daemon/edge/EdgePeers.cpp
@@ -103,7 +103,9 @@
                                    m.Servers.end());
 }
 
-void onConfigurationStatus(Edge &edge, const message::ConfigurationStatus &m, const Now &now) {
+void onConfigurationStatus(Edge &edge, const NodeId &from, const message::ConfigurationStatus &m,
+                           const Now &now) {
+  config::noteVersion(edge.Documents, ConfigurationName, m.Version, from);
   if (edge.Relay.Config == nullptr || m.Version != edge.Relay.Config->Version)
     return;
   std::optional<TimePoint> &newest = edge.Relay.ConfigStatus.NewestAt;
@@ -135,7 +137,7 @@
     apply(E, config::onUpdate(E.Documents, m, Time));
   }
   void operator()(const message::DocDigest &m) const {
-    apply(E, config::onDigest(E.Documents, From, m));
+    apply(E, config::onDigest(E.Documents, From, m, Time));
   }
   void operator()(const message::DocRequest &m) const {
     apply(E, config::onRequest(E.Documents, From, m));
@@ -163,7 +165,7 @@
     });
   }
   void operator()(const message::ConfigurationStatus &m) const {
-    onConfigurationStatus(E, m, Time);
+    onConfigurationStatus(E, From, m, Time);
   }
   void operator()(const message::BackendListRequest &m) const { onListRequest(E, Address, m); }
   void operator()(const message::BackendListCopy &m) const { onListCopy(E, m); }
@@ -343,23 +345,23 @@
     sendTo(edge, it, m);
 }
 
-void applyConfiguration(Edge &edge, std::uint64_t version, const std::string &body,
+bool applyConfiguration(Edge &edge, std::uint64_t version, const std::string &body,
                         const char *source) {
   const std::uint64_t present = edge.Relay.Config == nullptr ? 0 : edge.Relay.Config->Version;
   if (version != 0 && version <= present)
-    return;
+    return false;
   auto parsed = adapter::parseConfiguration(body);
   if (!parsed) {
     logLine(edge, "config", "bad_configuration",
             {{"source", source}, {"error", parsed.error().Message}});
     count(edge.Counters, "bad_configuration", source);
-    return;
+    return false;
   }
   const relay::CallerLimits limits = parsed->Limits;
   const std::uint64_t routes = parsed->Routes.size();
   if (!relay::configure(edge.Relay,
                         std::make_shared<const relay::Configuration>(std::move(*parsed))))
-    return;
+    return false;
   edge.Relay.ConfigStatus.Source = source;
   edge.Relay.ConfigStatus.InForceSince = net::readNow().Steady;
   logLine(edge, "config", "in_force",
@@ -371,6 +373,7 @@
     http::setLimits(*edge.Callers, limitsOf(limits));
   (void)config::onUpdate(edge.Documents, {ConfigurationName, edge.Relay.Config->Version, body},
                          net::readNow());
+  return true;
 }
 
 void announceConfiguration(Edge &edge) {
--- a/packages/daemon/edge/EdgeStore.cpp
+++ b/packages/daemon/edge/EdgeStore.cpp
@@ -23,17 +23,20 @@
 
 void checkConfiguration(Edge &edge);
 
+/// Notes when the store last confirmed the configuration.
+void noteConfirmed(Edge &edge) {
+  std::optional<TimePoint> &newest = edge.Relay.ConfigStatus.NewestAt;
+  newest = std::max(newest, edge.OperatorItems.CurrentAt);
+}
+
 void onOperatorItems(Edge &edge) {
   const auto it = edge.OperatorItems.Items.find(adapter::ConfigurationKey);
   if (it == edge.OperatorItems.Items.end())
     return;
-  applyConfiguration(edge, 0, it->second.Value, "store");
-}
-
-/// Notes when the store last confirmed the configuration, after an answer that was applied.
-void noteConfirmed(Edge &edge) {
-  std::optional<TimePoint> &newest = edge.Relay.ConfigStatus.NewestAt;
-  newest = std::max(newest, edge.OperatorItems.CurrentAt);
+  const bool isNew = applyConfiguration(edge, 0, it->second.Value, "store");
+  noteConfirmed(edge);
+  if (isNew)
+    announceConfiguration(edge);
 }
 
 void noteBadEntry(Edge &edge, const std::string &key, const std::string &why) {
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -45,7 +45,7 @@
     applyConfigEffects(Ctx, config::onUpdate(Ctx.S.Documents, m, Ctx.Time));
   }
   void operator()(const message::DocDigest &m) const {
-    applyConfigEffects(Ctx, config::onDigest(Ctx.S.Documents, From, m));
+    applyConfigEffects(Ctx, config::onDigest(Ctx.S.Documents, From, m, Ctx.Time));
   }
   void operator()(const message::DocRequest &m) const {
     applyConfigEffects(Ctx, config::onRequest(Ctx.S.Documents, From, m));
