daemon: an unreadable copy of a configuration does not pass for the version that it names

Cause: a copy from a peer went into the document store before it was parsed, so that the node's digest named a version that was not in force, and every later copy of it was refused as known. Change: a configuration enters the document store when it is in force. Test: UnreadableCopyDoesNotHideAVersion failed before (not in force after 1 s) and passes now.

--- a/packages/daemon/edge/EdgePeers.cpp
+++ b/packages/daemon/edge/EdgePeers.cpp
@@ -42,10 +42,16 @@
 void apply(Edge &edge, const config::Effects &effects) {
   for (const config::Send &it : effects.Sends)
     sendTo(edge, it.To, it.Body);
-  for (const config::AppliedDocument &it : effects.Changes)
-    if (it.Name == ConfigurationName)
-      if (const config::Document *document = config::find(edge.Documents, it.Name))
-        applyConfiguration(edge, document->Version, document->Body, "peer");
+}
+
+/// The document store holds only configurations that are in force, so that an unreadable copy does
+/// not pass for the version that it names.
+void onConfigurationUpdate(Edge &edge, const message::DocUpdate &m, const Now &now) {
+  const config::Document *held = config::find(edge.Documents, ConfigurationName);
+  if (held != nullptr && m.Version <= held->Version)
+    (void)config::onUpdate(edge.Documents, m, now);
+  else
+    applyConfiguration(edge, m.Version, m.Body, "peer");
 }
 
 /// Live members in the order in which they are home of a workspace.
@@ -134,7 +140,10 @@
     apply(E, membership::onExchange(E.Members, From, Address, m, Time));
   }
   void operator()(const message::DocUpdate &m) const {
-    apply(E, config::onUpdate(E.Documents, m, Time));
+    if (m.Name == ConfigurationName)
+      onConfigurationUpdate(E, m, Time);
+    else
+      apply(E, config::onUpdate(E.Documents, m, Time));
   }
   void operator()(const message::DocDigest &m) const {
     apply(E, config::onDigest(E.Documents, From, m, Time));
--- a/packages/daemon/edge/EdgeTest.cpp
+++ b/packages/daemon/edge/EdgeTest.cpp
@@ -319,4 +319,20 @@
   }
 }
 
+// Guards against a copy of a configuration that cannot be read and hides the readable one.
+BOOST_AUTO_TEST_CASE(UnreadableCopyDoesNotHideAVersion) {
+  Fixture f;
+  auto peer = net::startPeerTransport(
+      f.Node->Loop, {.Self = {"peer", 1}, .DataCentre = "z", .Secret = "0123456789abcdef"},
+      {.OnMessage = [](const NodeId &, const std::string &, message::Message &&) {},
+       .OnUnreachable = [](const std::string &) {}});
+  BOOST_REQUIRE(peer.has_value());
+  const std::string whole = configurationDocument(7).dump();
+  const char *name = "operators/configuration";
+  const std::string &to = net::peerAddress(*f.Node->Peers);
+  net::send(**peer, to, message::DocUpdate{name, 7, whole.substr(0, whole.size() / 2)});
+  net::send(**peer, to, message::DocUpdate{name, 7, whole});
+  BOOST_TEST(f.runUntil([&] { return f.Node->Relay.Config->Version == 7; }, 1000ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
