store: a reading of the configuration that fails gets more time

Cause: every reading was given up after 0.6 s, but a configuration of 1 MiB takes 1.1 s of a link of 10 Mbit/s, so that such a node never read it. Change: the bound of the configuration doubles with each failure up to 2.4 s; that of the server list stays at 0.6 s, whose reason is the departure of servers.

--- a/packages/daemon/edge/Edge.cpp
+++ b/packages/daemon/edge/Edge.cpp
@@ -25,6 +25,8 @@
 // Time between two readings of the backend servers by all nodes together. A reclaim gives 2 s of
 // notice, and each reading has a price.
 constexpr Duration ListPeriod = 250ms;
+// A configuration has up to 1 MiB, which is 1.1 s of a link of 10 Mbit/s that carries nothing else.
+constexpr std::chrono::milliseconds MaxConfigurationReadTimeout{2400};
 // After SIGTERM a node takes requests for this long, because callers use the list of addresses that
 // they hold; later ones might not end before the process does.
 constexpr Duration LeavingTime = 2500ms;
@@ -149,7 +151,8 @@
   Relay = relay::makeState(relayOptions(Settings));
   Members = membership::start(selfOf(Settings, now), Settings.Node.Seeds,
                               membershipOptions(Settings), now);
-  OperatorItems = store::makeMirror({.Prefix = adapter::OperatorPrefix});
+  OperatorItems = store::makeMirror(
+      {.Prefix = adapter::OperatorPrefix, .MaxReadTimeout = MaxConfigurationReadTimeout});
   // A watch on the backend servers would return at every heartbeat of every server.
   ServerItems = store::makeMirror({.Prefix = adapter::BackendPrefix, .PollPeriod = ListPeriod});
   OwnItems = store::makeMirror({.Prefix = "chervil/duty/"});
--- a/packages/store/Mirror.cpp
+++ b/packages/store/Mirror.cpp
@@ -9,6 +9,8 @@
 /// A mirror that has not called the store for this long reads all items again instead of asking for
 /// every change since then.
 constexpr Duration MaxWatchGap = std::chrono::seconds(5);
+// Keeps the doubled delays within their type; both are cut at a maximum of their own.
+constexpr unsigned MaxDoublings = 10;
 
 void onAnswer(Mirror &mirror, const Now &now) {
   if (mirror.Failures > 0 || !mirror.LastAnswer)
@@ -66,6 +68,9 @@
     call.Wait = mirror.Options.WatchWait;
   } else {
     call.AfterKey = mirror.AfterKey;
+    const unsigned doublings = std::min(mirror.Failures, MaxDoublings);
+    call.Timeout =
+        std::min(mirror.Options.MaxReadTimeout, mirror.Options.ReadTimeout * (1 << doublings));
   }
   return call;
 }
@@ -129,7 +134,8 @@
                     .Prefix = mirror.Options.Prefix,
                     .AfterKey = {},
                     .AfterRevision = mirror.Revision,
-                    .Wait = std::chrono::milliseconds(1)};
+                    .Wait = std::chrono::milliseconds(1),
+                    .Timeout = mirror.Options.ReadTimeout};
 }
 
 bool onCheck(Mirror &mirror, const Changes &changes) {
@@ -196,7 +202,7 @@
   mirror.CallPending = false;
   mirror.CallEnded = now.Steady;
   ++mirror.Failures;
-  const unsigned doublings = std::min(mirror.Failures - 1, 10U);
+  const unsigned doublings = std::min(mirror.Failures - 1, MaxDoublings);
   const Duration pause =
       std::min(mirror.Options.MaxRetryDelay, mirror.Options.MinRetryDelay * (1 << doublings));
   std::uniform_real_distribution<double> jitter(0.5, 1.0);
--- a/packages/store/Mirror.h
+++ b/packages/store/Mirror.h
@@ -26,6 +26,11 @@
   Duration PollPeriod{0};
   /// How long the store holds a watch open without a change.
   std::chrono::milliseconds WatchWait{10000};
+  /// Bound on a reading, which may be repeated at once. With a longer bound one lost answer and the
+  /// time between two readings take more than the 2 s in which a leaving server must be known.
+  std::chrono::milliseconds ReadTimeout{600};
+  /// The bound doubles with each failure up to this one: a large item takes longer on a slow link.
+  std::chrono::milliseconds MaxReadTimeout{600};
   /// Delay before the retry of a failed call. Starts at the minimum and doubles with each further
   /// failure up to the maximum; jitter shortens it by up to half.
   Duration MinRetryDelay = std::chrono::milliseconds(100);
@@ -43,6 +48,8 @@
   std::uint64_t AfterRevision = 0;
   /// For Watch: how long the store holds the call open.
   std::chrono::milliseconds Wait{0};
+  /// For ReadPage: bound on the call.
+  std::chrono::milliseconds Timeout{0};
 };
 
 /// A local copy and the state of its synchronisation.
--- a/packages/store/MirrorTest.cpp
+++ b/packages/store/MirrorTest.cpp
@@ -68,6 +68,23 @@
   BOOST_TEST(!nextCheck(f.M, 500ms, f.Time).has_value());
 }
 
+// Guards against an item that is never read because its transfer takes longer than the bound on a
+// reading.
+BOOST_AUTO_TEST_CASE(ReadingsThatFailGetMoreTime) {
+  Fixture f;
+  f.M.Options.MaxReadTimeout = 2400ms;
+  for (const auto expected : {600ms, 1200ms, 2400ms, 2400ms}) {
+    BOOST_TEST((f.next().Timeout == expected));
+    onCallFailed(f.M, f.Time, f.Rng);
+    f.Time.Steady += 10s;
+  }
+  Mirror other = makeMirror({.Prefix = "q/"});
+  BOOST_TEST((nextCall(other, f.Time)->Timeout == 600ms));
+  onCallFailed(other, f.Time, f.Rng);
+  f.Time.Steady += 10s;
+  BOOST_TEST((nextCall(other, f.Time)->Timeout == 600ms));
+}
+
 // Guards against a mirror that was idle and asks for every change since then.
 BOOST_AUTO_TEST_CASE(IdleMirrorReadsEverythingAgain) {
   Fixture f;
