retry, relay: parts of prompts that crash servers are found from the answers of all nodes and refused

Cause: a crash was recorded only if not even the head of an answer had come, and by the hash of the whole request, which never repeats. Change: a node that sees an answer break off within 0.5 s of its head, or before its first byte, records the shared parts of the prompt and tells all nodes; answers that go on clear their parts. A part without any such answer is quarantined after 3 crashes at distinct moments, one that had one after 5; the evidence is explained by as few parts as possible, those without an answer first, so that a part shared with sound requests, or by two crashing ones, is not. Parts that the evidence does not distinguish are quarantined together only. Quarantines are told again each second, for nodes that have just started. Ruled out: a count by the hash of the request; a crash for another reason (servers that end together count once).

--- a/packages/daemon/edge/EdgePeers.cpp
+++ b/packages/daemon/edge/EdgePeers.cpp
@@ -173,6 +173,12 @@
       relay::onCrashReport(edge.Relay, m, out, now);
     });
   }
+  void operator()(const message::PartEvidence &m) const {
+    Edge &edge = E;
+    handle(E, [&edge, m](relay::Effects &out, const Now &now) {
+      relay::onPartEvidence(edge.Relay, m, out, now);
+    });
+  }
   void operator()(const message::ConfigurationStatus &m) const {
     onConfigurationStatus(E, From, m, Time);
   }
--- a/packages/message/Message.h
+++ b/packages/message/Message.h
@@ -28,6 +28,7 @@
 #include "message/Handover.h"
 #include "message/HandoverReply.h"
 #include "message/MemberExchange.h"
+#include "message/PartEvidence.h"
 #include "message/Ping.h"
 #include "message/PingRequest.h"
 #include "message/Progress.h"
@@ -55,7 +56,7 @@
                  TableAck, DemandReport, ShareGrant, CrashReport, BackendStatus, EpochProbe,
                  EpochConfirm, MemberExchange, TokenClaim, TokenGrant, UsageReport,
                  BackendListRequest, BackendListCopy, BackendLoads, CachedPromptParts,
-                 BackendListDelta, DutyHolderAnnouncement, ConfigurationStatus>;
+                 BackendListDelta, DutyHolderAnnouncement, ConfigurationStatus, PartEvidence>;
 
 } // namespace chervil::message
 
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -110,6 +110,7 @@
   void operator()(const message::CachedPromptParts &) const {}
   void operator()(const message::BackendListDelta &) const {}
   void operator()(const message::ConfigurationStatus &) const {}
+  void operator()(const message::PartEvidence &) const {}
   void operator()(const message::DutyHolderAnnouncement &) const {}
 };
 
--- a/packages/relay/ActiveRequest.h
+++ b/packages/relay/ActiveRequest.h
@@ -74,6 +74,12 @@
   int Status = 0;
   /// See BackendHead::IsGenuine.
   bool IsGenuine = false;
+  /// When the head of the answer of the current call arrived; the epoch until then.
+  TimePoint AnswerBegan{};
+  /// That answer has gone on long enough to show that its prompt does not crash servers.
+  bool AnswerWentOn = false;
+  /// It is quarantined and sent to find out whether it still crashes its server.
+  bool IsProbe = false;
   /// The first byte of the body has arrived in the current call.
   bool GotFirstByte = false;
   /// Body received so far, if the answer is not streamed.
--- a/packages/relay/BackendEvents.cpp
+++ b/packages/relay/BackendEvents.cpp
@@ -4,6 +4,7 @@
 #include "relay/detail/Context.h"
 #include "relay/detail/Dispatch.h"
 #include "relay/detail/Outcome.h"
+#include "relay/detail/SuspectParts.h"
 
 #include <algorithm>
 
@@ -82,6 +83,7 @@
         ctx.S.Quarantine, request.Info.ContentHash, request.Backend, false, ctx.Time);
     ctx.Out.push_back(Gossip{report});
   }
+  detail::onAnswerBroke(ctx, request);
   onLost(ctx, request,
          request.Status != 0 ? ResultCode::BackendBadAnswer : ResultCode::BackendDied);
 }
@@ -124,6 +126,7 @@
 /// Handles a call that ended with a complete answer.
 void onCompleteAnswer(Context &ctx, ActiveRequest &request) {
   if (isStreamed(request)) {
+    detail::onAnswerProgress(ctx, request, true);
     recordOutcome(ctx.S.Servers, request.Backend, SendOutcome::Success, ctx.Time);
     ++request.PossibleRuns;
     if (!request.Events.Partial.empty())
@@ -180,6 +183,7 @@
   }
   request->Status = head.Status;
   request->IsGenuine = head.IsGenuine;
+  request->AnswerBegan = now.Steady;
   if (isStreamed(*request) && request->Stage != Stage::Streaming) {
     request->Stage = Stage::Streaming;
     out.push_back(BeginStream{request->Id, call});
@@ -193,6 +197,7 @@
     return;
   Context ctx{state, out, now, rng};
   onAnswerStarted(ctx, *request);
+  detail::onAnswerProgress(ctx, *request, false);
   if (isStreamed(*request)) {
     streamEvents(ctx, *request, bytes);
     if (request->Events.Partial.size() > MaxEventBytes)
@@ -215,7 +220,7 @@
   case BackendEnd::Closed:
     // A server that dies closes its connections too. Half an event shows it.
     if (isStreamed(*request) && !request->Progress.AtBoundary)
-      onLost(ctx, *request, ResultCode::BackendBadAnswer);
+      onBroken(ctx, *request);
     else
       onCompleteAnswer(ctx, *request);
     return;
--- a/packages/relay/Backends.cpp
+++ b/packages/relay/Backends.cpp
@@ -156,6 +156,13 @@
   return tokens;
 }
 
+std::vector<std::uint64_t> sharedParts(std::span<const PromptPart> prompt) {
+  std::vector<std::uint64_t> out;
+  for (std::size_t i = 0; i + 1 < prompt.size(); ++i)
+    out.push_back(prompt[i].Hash);
+  return out;
+}
+
 std::optional<std::uint64_t> sharedPrefixHash(std::span<const PromptPart> prompt) {
   if (prompt.size() < 2)
     return std::nullopt;
--- a/packages/relay/Relay.cpp
+++ b/packages/relay/Relay.cpp
@@ -4,8 +4,10 @@
 #include "relay/detail/Context.h"
 #include "relay/detail/Dispatch.h"
 #include "relay/detail/Outcome.h"
+#include "relay/detail/SuspectParts.h"
 
 #include <algorithm>
+#include <random>
 
 namespace chervil::relay {
 namespace {
@@ -18,6 +20,10 @@
 // Retry-After for requests to a node that is about to stop. Another node can serve them at once.
 constexpr auto NodeLeavingRetryAfter = 10ms;
 
+// Time between two messages to random peers about what is quarantined. A node that has just
+// started knows nothing, and gossip may miss a node.
+constexpr Duration QuarantineSharePeriod = 1s;
+
 // Number of route priorities per workspace priority. The priority of the workspace is compared
 // first, that of the route only among workspaces of equal priority.
 constexpr int RoutePriorityLevels = 3;
@@ -78,6 +84,15 @@
          it->second.Backends.size() >= detail::CrashesToRefuse;
 }
 
+/// Decides whether this node sends one request that is quarantined because of its prompt. One of
+/// two nodes does on average before all of them know how it ended.
+bool sendsProbe(const Context &ctx, const RequestInfo &info) {
+  if (!retry::isProbeDue(ctx.S.PartQuarantine, sharedParts(info.Prompt), ctx.Time))
+    return false;
+  return std::bernoulli_distribution(0.5 /
+                                     double(std::max<std::size_t>(1, ctx.S.LiveNodes)))(ctx.Rng);
+}
+
 /// Registers the request and dispatches it, or lets it wait for tokens of its rate limit.
 void admitRequest(Context &ctx, ActiveRequest request, const Workspace *workspace) {
   State &state = ctx.S;
@@ -164,6 +179,17 @@
     out.push_back(Gossip{report});
 }
 
+void onPartEvidence(State &state, const message::PartEvidence &evidence, Effects &out,
+                    const Now &now) {
+  Random unused;
+  Context ctx{state, out, now, unused};
+  message::PartEvidence added = retry::mergeEvidence(state.PartQuarantine, evidence, now);
+  if (retry::isEmpty(added))
+    return;
+  out.push_back(Gossip{std::move(added)});
+  detail::refuseQuarantined(ctx);
+}
+
 void onRequest(State &state, RequestId id, RequestInfo info, TimePoint arrived, Effects &out,
                const Now &now, Random &rng) {
   Context ctx{state, out, now, rng};
@@ -188,12 +214,16 @@
       return;
     }
   }
-  if (isQuarantined(state, info.ContentHash)) {
-    refuseUnadmitted(ctx, id, info, ResultCode::Quarantined, 503, 0ms);
+  const bool isPartQuarantined =
+      retry::isQuarantined(state.PartQuarantine, sharedParts(info.Prompt));
+  const bool isProbe = isPartQuarantined && sendsProbe(ctx, info);
+  if (isQuarantined(state, info.ContentHash) || (isPartQuarantined && !isProbe)) {
+    refuseUnadmitted(ctx, id, info, ResultCode::Quarantined, 503, detail::QuarantineRetryAfter);
     return;
   }
   ActiveRequest request;
   request.Id = id;
+  request.IsProbe = isProbe;
   request.Configuration = state.Config;
   request.Route = route;
   request.Service = pickService(*route, rng);
@@ -254,6 +284,14 @@
   for (auto &[workspace, account] : state.Accounts)
     if (!account.Waiting.empty())
       detail::claimTokensIfNeeded(ctx, workspace, account);
+  if (now.Steady >= state.NextQuarantineShare) {
+    state.NextQuarantineShare = now.Steady + QuarantineSharePeriod;
+    retry::prune(state.PartQuarantine, now);
+    message::PartEvidence evidence = retry::evidenceOfQuarantines(state.PartQuarantine, now);
+    if (!retry::isEmpty(evidence))
+      out.push_back(Gossip{std::move(evidence)});
+  }
+  detail::refuseQuarantined(ctx);
   std::vector<RequestId> timedOut;
   std::vector<RequestId> stalled;
   std::vector<ActiveRequest *> waiting;
--- a/packages/relay/Relay.h
+++ b/packages/relay/Relay.h
@@ -16,6 +16,7 @@
 #include "limits/TokenAccount.h"
 #include "message/BackendStatus.h"
 #include "message/CrashReport.h"
+#include "message/PartEvidence.h"
 #include "message/TokenGrant.h"
 #include "relay/ActiveRequest.h"
 #include "relay/BackendHead.h"
@@ -24,6 +25,7 @@
 #include "relay/Options.h"
 #include "relay/PrefillDemand.h"
 #include "relay/RetryShare.h"
+#include "retry/PartQuarantine.h"
 #include "retry/Quarantine.h"
 
 #include <map>
@@ -58,6 +60,11 @@
   std::map<std::string, PrefillDemand> PrefillDemands;
   /// Contents whose servers crashed.
   retry::Quarantine Quarantine;
+  /// Parts of prompts that crash servers, and when peers that may have missed them are told next.
+  retry::PartQuarantine PartQuarantine;
+  TimePoint NextQuarantineShare{};
+  /// The quarantined parts when waiting requests were last examined.
+  std::vector<retry::Parts> ActedOnQuarantine;
   CallId NextCall = 1;
   std::uint64_t NextClaim = 1;
 };
@@ -92,6 +99,11 @@
 /// Merges the crash report of a peer and forwards it if it is new.
 void onCrashReport(State &state, const message::CrashReport &report, Effects &out, const Now &now);
 
+/// Merges a peer's evidence about parts of prompts that crash servers, forwards what is new, and
+/// refuses requests that have become known to crash servers.
+void onPartEvidence(State &state, const message::PartEvidence &evidence, Effects &out,
+                    const Now &now);
+
 /// Handles a new request. `arrived` is when the caller's first byte arrived.
 void onRequest(State &state, RequestId id, RequestInfo info, TimePoint arrived, Effects &out,
                const Now &now, Random &rng);
--- a/packages/relay/RequestInfo.h
+++ b/packages/relay/RequestInfo.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,9 @@
   std::uint32_t Tokens = 0;
 };
 
+/// Hashes of the parts of a prompt that other requests may have, that is all but the last.
+std::vector<std::uint64_t> sharedParts(std::span<const PromptPart> prompt);
+
 /// Properties of one request.
 struct RequestInfo {
   /// The caller's id of this attempt; may be empty.
--- a/packages/relay/detail/Dispatch.cpp
+++ b/packages/relay/detail/Dispatch.cpp
@@ -1,6 +1,7 @@
 #include "relay/detail/Dispatch.h"
 
 #include "relay/detail/Outcome.h"
+#include "relay/detail/SuspectParts.h"
 
 #include <algorithm>
 
@@ -56,7 +57,8 @@
   request.Sent = ctx.Time.Steady;
   request.TriedServers.push_back(server.Entry.Id);
   request.Status = 0;
-  request.IsGenuine = request.GotFirstByte = false;
+  request.IsGenuine = request.GotFirstByte = request.AnswerWentOn = false;
+  request.AnswerBegan = {};
   dropCollected(state, request);
   request.Events = {};
   request.Progress = {};
@@ -101,6 +103,11 @@
 void dispatch(Context &ctx, ActiveRequest &request) {
   State &state = ctx.S;
   request.Stage = Stage::WaitingForServer;
+  if (!request.IsProbe &&
+      retry::isQuarantined(state.PartQuarantine, sharedParts(request.Info.Prompt))) {
+    refuse(ctx, request, ResultCode::Quarantined, QuarantineRetryAfter);
+    return;
+  }
   if (ctx.Time.Steady + MinTimeLeftToSend > request.GiveUp) {
     refuse(ctx, request, ResultCode::DeadlineUnreachable, 0ms);
     return;
@@ -126,6 +133,8 @@
   State &state = ctx.S;
   if (mayHaveRun && !isIdempotent(*request.Route))
     return false;
+  if (retry::isQuarantined(state.PartQuarantine, sharedParts(request.Info.Prompt)))
+    return false;
   const unsigned bound =
       mayHaveRun ? request.Route->MaxAttempts : request.Route->MaxAttempts + MaxRejectedSends;
   if (request.PossibleRuns >= request.Route->MaxAttempts || request.TriedServers.size() >= bound ||
--- /dev/null
+++ b/packages/relay/detail/SuspectParts.cpp
@@ -0,0 +1,77 @@
+#include "relay/detail/SuspectParts.h"
+
+#include "base/Hash.h"
+#include "relay/detail/Outcome.h"
+
+#include <utility>
+
+namespace chervil::relay::detail {
+namespace {
+
+/// Identifies one start of a server, alike on all nodes.
+std::uint64_t startHash(State &state, const std::string &id) {
+  const Backend *server = find(state.Servers, id);
+  return hashBytes(id, server == nullptr ? 0 : server->Entry.Born);
+}
+
+bool hasJustBegun(const ActiveRequest &request, const Now &now) {
+  return request.AnswerBegan != TimePoint{} && !request.AnswerWentOn &&
+         (!request.GotFirstByte || now.Steady - request.AnswerBegan < AnswerBeginTime);
+}
+
+std::string formatParts(const std::vector<std::uint64_t> &parts) {
+  std::string out;
+  for (const std::uint64_t it : parts)
+    out += (out.empty() ? "" : ",") + std::to_string(it);
+  return out;
+}
+
+void share(Context &ctx, message::PartEvidence evidence) {
+  if (!retry::isEmpty(evidence))
+    ctx.Out.push_back(Gossip{std::move(evidence)});
+}
+
+} // namespace
+
+void onAnswerBroke(Context &ctx, const ActiveRequest &request) {
+  retry::Parts parts = sharedParts(request.Info.Prompt);
+  if (parts.empty() || !hasJustBegun(request, ctx.Time))
+    return;
+  logRequest(ctx, request, "prompt_suspect", {{"parts", formatParts(parts)}});
+  ctx.Out.push_back(IncrementCounter{"backend_misbehaved", "broke_at_begin"});
+  share(ctx, retry::recordDeath(ctx.S.PartQuarantine, startHash(ctx.S, request.Backend),
+                                {std::move(parts)}, ctx.Time));
+}
+
+void onAnswerProgress(Context &ctx, ActiveRequest &request, bool isComplete) {
+  if (request.AnswerWentOn || request.Info.Prompt.size() < 2)
+    return;
+  if (!isComplete &&
+      (!request.GotFirstByte || ctx.Time.Steady - request.AnswerBegan < AnswerBeginTime))
+    return;
+  request.AnswerWentOn = true;
+  share(ctx,
+        retry::recordSuccess(ctx.S.PartQuarantine, sharedParts(request.Info.Prompt), ctx.Time));
+}
+
+void refuseQuarantined(Context &ctx) {
+  const auto &quarantined = ctx.S.PartQuarantine.Quarantined;
+  if (quarantined == ctx.S.ActedOnQuarantine)
+    return;
+  ctx.S.ActedOnQuarantine = quarantined;
+  for (const retry::Parts &it : quarantined)
+    ctx.Out.push_back(LogRecord{"parts_quarantined", "", {{"parts", formatParts(it)}}});
+  std::vector<RequestId> refused;
+  for (const auto &[id, request] : ctx.S.ActiveRequests)
+    if (request.AnswerBegan == TimePoint{} && !request.IsProbe &&
+        retry::isQuarantined(ctx.S.PartQuarantine, sharedParts(request.Info.Prompt)))
+      refused.push_back(id);
+  for (const RequestId id : refused) {
+    ActiveRequest &request = ctx.S.ActiveRequests.at(id);
+    // The server may have begun to run it.
+    request.PossibleRuns += request.Call != 0 ? 1 : 0;
+    refuse(ctx, request, ResultCode::Quarantined, QuarantineRetryAfter);
+  }
+}
+
+} // namespace chervil::relay::detail
--- a/packages/wire/detail/Fields.h
+++ b/packages/wire/detail/Fields.h
@@ -161,6 +161,14 @@
 template <MaybeConst<message::DutyHolderAnnouncement> M> auto fields(M &m) {
   return std::tie(m.PeerAddress, m.Token);
 }
+template <MaybeConst<message::PromptParts> M> auto fields(M &m) { return std::tie(m.Parts); }
+template <MaybeConst<message::ServerDeath> M> auto fields(M &m) {
+  return std::tie(m.Server, m.Age, m.Suspects);
+}
+template <MaybeConst<message::PartSuccess> M> auto fields(M &m) { return std::tie(m.Part, m.Age); }
+template <MaybeConst<message::PartEvidence> M> auto fields(M &m) {
+  return std::tie(m.Deaths, m.Successes);
+}
 template <MaybeConst<message::ConfigurationStatus> M> auto fields(M &m) {
   return std::tie(m.Version, m.Age);
 }
