relay: an unframed answer that ends without a body is broken off, not complete

Callers would see: an empty answer with status 200, or a stream that ends as complete before its first event, where a server died after the head of an answer that has neither length nor chunks. Cause: the close of such an answer was checked for half an event only. Change: an answer that ends with its connection has at least one byte of a body.

--- a/packages/relay/BackendEvents.cpp
+++ b/packages/relay/BackendEvents.cpp
@@ -218,8 +218,8 @@
     onCompleteAnswer(ctx, *request);
     return;
   case BackendEnd::Closed:
-    // A server that dies closes its connections too. Half an event shows it.
-    if (isStreamed(*request) && !request->Progress.AtBoundary)
+    // A server that dies closes its connections too. Half an event, or no body at all, shows it.
+    if (!request->GotFirstByte || (isStreamed(*request) && !request->Progress.AtBoundary))
       onBroken(ctx, *request);
     else
       onCompleteAnswer(ctx, *request);
--- a/packages/relay/TroubledServersTest.cpp
+++ b/packages/relay/TroubledServersTest.cpp
@@ -115,6 +115,21 @@
   }
 }
 
+// Guards against a server that dies after the head of an answer without a length, and whose close
+// passes for an empty but complete answer.
+BOOST_AUTO_TEST_CASE(CloseWithoutABodyIsNoAnswer) {
+  for (const char *path : {"/once/x", "/unsafe/x"}) {
+    Fixture f;
+    f.request(path);
+    const CallId call = f.call().Call;
+    f.head(call, 200);
+    f.end(call, BackendEnd::Closed);
+    BOOST_TEST(f.all<EndStream>().empty());
+    BOOST_TEST(f.all<ForwardAnswer>().empty());
+    BOOST_TEST(f.all<AbortStream>().size() + f.all<Refuse>().size() == 1U);
+  }
+}
+
 // Guards against a stalled stream that lives because its server sends a byte now and then, and
 // against a slow one that is cut although it makes progress.
 BOOST_AUTO_TEST_CASE(StalledStreamsEndAndSlowOnesLive) {
