http: a planned stop reads the requests that have arrived before it closes

Callers saw (reported by operators of similar systems, shown here by a test): requests cut off without an answer while a node stopped under load. Cause: closing the listening socket resets the connections in its queue, and idle connections were shut down although a request had arrived on them and was not read yet. Change: the queue is accepted before the socket is closed, and an idle connection is read before it is closed; what arrived is answered, with Connection: close. Test: ArrivedRequestsAreReadBeforeTheStop failed before in all 3 checks. Measured: http and daemon tests pass.

--- a/packages/http/Server.cpp
+++ b/packages/http/Server.cpp
@@ -360,15 +360,21 @@
 void closeIdle(Server &server) {
   std::vector<Connection *> idle;
   for (const auto &[c, owner] : server.Connections)
-    if (c->State == Phase::Idle && c->In.empty())
+    if (c->State == Phase::Idle)
       idle.push_back(c);
-  for (Connection *c : idle)
-    linger(*c);
+  for (Connection *c : idle) {
+    // A request that has arrived is answered first; the connection then closes after the answer.
+    onReadable(*c);
+    if (server.Connections.contains(c) && c->State == Phase::Idle && c->In.empty())
+      linger(*c);
+  }
 }
 
 void stopListening(Server &server) {
   if (server.Fd < 0)
     return;
+  // Closing the socket resets the connections that wait to be accepted.
+  onAccept(server);
   ev_io_stop(server.Loop->Raw.get(), &server.Accept);
   close(server.Fd);
   server.Fd = -1;
--- a/packages/http/ServerTest.cpp
+++ b/packages/http/ServerTest.cpp
@@ -138,4 +138,29 @@
   close(idle);
 }
 
+// Guards against a planned stop that cuts requests which have arrived and have not been read: on a
+// connection that is not accepted yet, and on an idle one.
+BOOST_AUTO_TEST_CASE(ArrivedRequestsAreReadBeforeTheStop) {
+  Fixture f;
+  const int kept = connectPlain(port(*f.It));
+  sendText(kept, Get);
+  BOOST_TEST(f.runUntil([&] { return f.Requests.size() == 1; }));
+  respond(*f.It, f.Requests[0].Id, {.Body = "first"});
+  BOOST_TEST(f.receives(kept, "first"));
+  const int fresh = connectPlain(port(*f.It));
+  sendText(kept, Get);
+  sendText(fresh, Get);
+  startDraining(*f.It);
+  stopListening(*f.It);
+  closeIdle(*f.It);
+  BOOST_TEST(f.runUntil([&] { return f.Requests.size() == 3; }, 1000ms));
+  for (std::size_t i = 1; i < f.Requests.size(); ++i)
+    respond(*f.It, f.Requests[i].Id, {.Body = "second"});
+  BOOST_TEST(f.receives(kept, "second"));
+  f.Received.clear();
+  BOOST_TEST(f.receives(fresh, "second"));
+  close(kept);
+  close(fresh);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
