net: connections between nodes detect a silent peer

Callers would see: a node that stays cut off from the others after their channels went silent, although new ones work: limits in parts, no news of departures and configurations. Cause: connections between nodes had neither keep-alive probes nor a bound on unacknowledged bytes, unlike those to callers and servers; the bound on slow writes sees only full buffers, which small messages never fill, so that the kernel's minutes applied. Test: SilentPeersAreDetected failed before (none of two sockets). Silence itself cannot be played on loopback without a filter. Measured: net and http tests pass.

--- a/packages/http/Socket.cpp
+++ b/packages/http/Socket.cpp
@@ -1,23 +1,19 @@
 #include "http/Socket.h"
 
 #include "net/SocketAddress.h"
+#include "net/SocketOptions.h"
 
 #include <cerrno>
 #include <cstring>
 #include <fcntl.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 namespace chervil::http {
 namespace {
 
-// A connection whose peer acknowledges nothing for this long is dead; a cut network neither resets
-// nor closes it. Well above the longest round trip between regions.
-constexpr unsigned UserTimeoutMs = 2000;
-constexpr int KeepAliveIdleSeconds = 1;
-constexpr int KeepAliveIntervalSeconds = 1;
-constexpr int KeepAliveProbes = 2;
+// Well above the longest round trip between regions.
+constexpr std::chrono::milliseconds UnacknowledgedTime{2000};
 constexpr std::size_t ReadSize = 64 * 1024;
 constexpr int Backlog = 512;
 
@@ -29,12 +25,7 @@
 
 void prepareSocket(int fd) {
   (void)fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
-  setOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
-  setOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
-  setOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
-  setOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
-  setOption(fd, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
-  setOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, UserTimeoutMs);
+  net::detectSilentPeer(fd, UnacknowledgedTime);
 }
 
 Result<int> listenOn(const sockaddr_in &address) {
--- a/packages/net/PeerTransport.cpp
+++ b/packages/net/PeerTransport.cpp
@@ -2,6 +2,7 @@
 
 #include "net/PeerAuth.h"
 #include "net/SocketAddress.h"
+#include "net/SocketOptions.h"
 #include "wire/Codec.h"
 #include "wire/FrameReader.h"
 #include "wire/Handshake.h"
@@ -9,7 +10,6 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <unordered_map>
@@ -323,8 +323,7 @@
 }
 
 void attach(Connection &c, int fd) {
-  const int on = 1;
-  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  detectSilentPeer(fd, c.Transport->Options.SlowWriteTimeout);
   c.Fd = fd;
   c.Reader.Limit = HandshakeLimit;
   ev_io_init(&c.Io, onSocket, fd, EV_READ);
--- a/packages/net/PeerTransportTest.cpp
+++ b/packages/net/PeerTransportTest.cpp
@@ -10,6 +10,8 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <map>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -386,6 +388,31 @@
   BOOST_TEST(a->count().MessagesDropped <= 32U);
 }
 
+// Guards against a peer that goes silent without a reset and to which messages are lost until the
+// kernel gives up after many minutes: its connections must have time-outs of their own.
+BOOST_FIXTURE_TEST_CASE(SilentPeersAreDetected, Fixture) {
+  const auto a = start("a", {.SlowWriteTimeout = 3210ms});
+  const auto b = start("b", {.SlowWriteTimeout = 3210ms});
+  send(*a->Transport, b->address(), ping(1));
+  BOOST_TEST(runUntil([&] { return b->Messages.size() == 1; }));
+  int found = 0;
+  for (int fd = 0; fd < 1024; ++fd) {
+    unsigned timeout = 0;
+    int keepAlive = 0;
+    int idle = 0;
+    socklen_t n = sizeof(timeout);
+    if (getsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, &n) != 0 || timeout != 3210)
+      continue;
+    n = sizeof(keepAlive);
+    (void)getsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &keepAlive, &n);
+    n = sizeof(idle);
+    (void)getsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, &n);
+    found += keepAlive != 0 && idle <= 2 ? 1 : 0;
+  }
+  // The side that opened the connection and the one that accepted it.
+  BOOST_TEST(found == 2);
+}
+
 // Guards against idle connections that stay open, and an idle close that is reported as a failure.
 BOOST_FIXTURE_TEST_CASE(IdleConnectionsClose, Fixture) {
   const auto a = start("a", {.IdleClose = 40ms});
--- /dev/null
+++ b/packages/net/SocketOptions.h
@@ -0,0 +1,16 @@
+// Options of TCP connections on which a peer may go silent.
+#ifndef CHERVIL_NET_SOCKETOPTIONS_H
+#define CHERVIL_NET_SOCKETOPTIONS_H
+
+#include <chrono>
+
+namespace chervil::net {
+
+/// Sends small messages without delay, and ends the connection if the peer goes silent without a
+/// reset, as behind a cut network or after a loss of power: an idle one within a few seconds, one
+/// with bytes under way when none of them is acknowledged for `unacknowledged`.
+void detectSilentPeer(int fd, std::chrono::milliseconds unacknowledged);
+
+} // namespace chervil::net
+
+#endif
