fleet: reclaimable servers are not released in a lull during reclaims

So the count of reclaimable servers by need alone is the cause. From the log: at 29.5 s, 2.5 s after a data centre was reclaimed, the need fell from 39 to 29 in a lull and 5 servers were released in each of the others; when the load rose at 32 s every order was refused. Class of fault: giving back what cannot be had again. Change: reclaimable servers are released after a need that has been lower for 60 s, and not within 20 s of a reclaim; an assumed need is replaced at once by the first measured one, outside a wave; a new holder of the duty starts from the servers that serve.

--- a/packages/fleet/ZoneOrders.cpp
+++ b/packages/fleet/ZoneOrders.cpp
@@ -90,6 +90,45 @@
   }
 }
 
+bool isReclaimExpected(const ZoneOrders &orders, const Now &now) {
+  return orders.LastReclaim && now.Steady - *orders.LastReclaim < ReclaimWaveDuration;
+}
+
+/// Number of data centres that are left in a wave of reclaims.
+unsigned remainingZones(const ZoneTerms &terms) {
+  const auto zones = static_cast<unsigned>(terms.Prices.size());
+  return zones > LostZones ? zones - LostZones : 1;
+}
+
+/// The need for which the serving reclaimable servers were ordered, as a holder that has just taken
+/// over the duty finds them.
+unsigned needOfServing(const ZoneTerms &terms, const std::map<std::string, ZoneCount> &counts) {
+  unsigned largest = 0;
+  for (const auto &[zone, it] : counts)
+    largest = std::max(largest, it.Reclaimable);
+  return largest > SpareServers ? (largest - SpareServers) * remainingZones(terms) : 0;
+}
+
+/// Raises the need that reclaimable servers are kept for immediately, and lowers it late. An
+/// assumed need is replaced by the first measured one.
+void updateReservedNeed(ZoneOrders &orders, const ZoneTerms &terms,
+                        const std::map<std::string, ZoneCount> &counts, const Now &now) {
+  if (orders.States.empty()) {
+    orders.ReservedNeed = needOfServing(terms, counts);
+    orders.ReservedNeedAt = now.Steady;
+    orders.IsReservedNeedMeasured = orders.ReservedNeed > 0;
+  }
+  const bool isFirstMeasured =
+      terms.BusyServers && !orders.IsReservedNeedMeasured && orders.NeededUpdatedAt == now.Steady;
+  const bool isLowLong = now.Steady - orders.ReservedNeedAt > ReclaimableReleaseDelay;
+  const bool mayRelease = (isFirstMeasured || isLowLong) && !isReclaimExpected(orders, now);
+  if (orders.Needed < orders.ReservedNeed && !mayRelease)
+    return;
+  orders.ReservedNeed = orders.Needed;
+  orders.ReservedNeedAt = now.Steady;
+  orders.IsReservedNeedMeasured = terms.BusyServers.has_value();
+}
+
 /// Number of on-demand servers needed in addition to the serving reclaimable ones, without those of
 /// the largest data centre while another reclaim is expected.
 unsigned requiredOnDemand(const ZoneOrders &orders, const Now &now) {
@@ -99,7 +138,7 @@
     serving += n;
     largest = std::max(largest, n);
   }
-  if (orders.LastReclaim && now.Steady - *orders.LastReclaim < ReclaimWaveDuration)
+  if (isReclaimExpected(orders, now))
     serving -= largest;
   return serving < orders.Needed ? orders.Needed - serving : 0;
 }
@@ -109,7 +148,7 @@
                             const std::map<std::string, ZoneCount> &counts, const Now &now) {
   TargetCounts targets;
   for (const auto &[zone, price] : terms.Prices) {
-    targets[{zone, true}] = reclaimableTarget(terms, orders.Needed);
+    targets[{zone, true}] = reclaimableTarget(terms, orders.ReservedNeed);
     targets[{zone, false}] = 0;
   }
   spreadOnDemand(targets, orders, terms, counts, requiredOnDemand(orders, now));
@@ -140,8 +179,7 @@
 } // namespace
 
 unsigned reclaimableTarget(const ZoneTerms &terms, unsigned needed) {
-  const auto zones = static_cast<unsigned>(terms.Prices.size());
-  const unsigned remaining = zones > LostZones ? zones - LostZones : 1;
+  const unsigned remaining = remainingZones(terms);
   const unsigned perZone = (needed + remaining - 1) / remaining + SpareServers;
   const auto most = static_cast<unsigned>(std::ceil(terms.ReclaimableFraction * terms.Max - 1e-9));
   return std::clamp(std::min(perZone, most), terms.Min, std::max(terms.Min, terms.Max));
@@ -162,6 +200,7 @@
     return out;
   detectReclaims(orders, terms, counts, now);
   updateNeededServers(orders, terms, now);
+  updateReservedNeed(orders, terms, counts, now);
   for (const auto &[kind, count] : computeTargets(orders, terms, counts, now)) {
     OrderState &state = orders.States[kind];
     const unsigned serving = servingCount(counts, kind.first, kind.second);
--- a/packages/fleet/ZoneOrders.h
+++ b/packages/fleet/ZoneOrders.h
@@ -91,6 +91,11 @@
   /// Number of servers of both kinds that counts as needed, and when it was last set or confirmed.
   unsigned Needed = 0;
   TimePoint NeededUpdatedAt{};
+  /// The need that the reclaimable servers are kept for, when it was last set, and whether it rests
+  /// on a measurement.
+  unsigned ReservedNeed = 0;
+  TimePoint ReservedNeedAt{};
+  bool IsReservedNeedMeasured = false;
 };
 
 /// Time after a reclaim during which another data centre is expected to be reclaimed. Reclaims come
@@ -105,6 +110,9 @@
 /// Servers are released only after the load has not needed them for this long, because a released
 /// server loses the prompts that it has read, and a new one takes seconds to start.
 inline constexpr Duration ScaleDownDelay = std::chrono::seconds(10);
+/// Reclaimable servers are released only after this long, and not while a wave of reclaims is
+/// expected: they are cheap, and while servers are being reclaimed no others can be had.
+inline constexpr Duration ReclaimableReleaseDelay = std::chrono::seconds(60);
 /// Minimum number of needed servers, as a fraction of Max summed over all data centres.
 inline constexpr double MinNeededFraction = 0.15;
 
--- a/packages/fleet/ZoneOrdersTest.cpp
+++ b/packages/fleet/ZoneOrdersTest.cpp
@@ -46,6 +46,13 @@
     return n;
   }
 
+  /// The servers of the data centre go, and no data centre has others for a while.
+  void reclaimFromAll(const std::string &zone) {
+    reclaim(zone);
+    for (const auto &[other, price] : Terms.Prices)
+      RefusesUntil[other] = RefusesUntil[zone];
+  }
+
   void reclaim(const std::string &zone) {
     Servers[{zone, true}].clear();
     RefusesUntil[zone] = Time.Steady + 14s;
@@ -136,6 +143,30 @@
   BOOST_TEST(heavyMinimum >= 5U);
 }
 
+// Guards against a fleet that is too small because servers were released in a lull during a wave of
+// reclaims, when no others can be had: the load of a wave of traffic, whose peak follows.
+BOOST_AUTO_TEST_CASE(ALullDuringReclaimsReleasesNothing) {
+  for (const bool holderChanges : {false, true}) {
+    Platform p;
+    p.Terms.BusyServers = 4.8;
+    const unsigned neededAtPeak = neededServers(p.Terms);
+    unsigned minServing = 100;
+    for (int i = 0; i < 80; ++i) {
+      p.Terms.BusyServers = i >= 38 && i < 64 ? 2.4 : 4.8;
+      if (i == 40)
+        p.reclaimFromAll("d");
+      if (i == 44 && holderChanges)
+        p.Orders = {};
+      if (i == 52)
+        p.reclaimFromAll("a");
+      p.step();
+      if (i >= 64)
+        minServing = std::min(minServing, p.serving());
+    }
+    BOOST_TEST(minServing >= neededAtPeak, "holder changes: " << holderChanges);
+  }
+}
+
 // Guards against reclaimable servers that are ordered up to the bound although the load needs few,
 // and against too few of them to survive a wave that reclaims two data centres.
 BOOST_AUTO_TEST_CASE(ReclaimableServersFollowTheNeed) {
