daemon: configuration and prompt parts have files of their own; one way to restart a watch

Moves applyConfiguration and its messages to EdgeConfiguration.cpp and the news of prompt parts to EdgeParts.cpp; the check of the configuration uses callPlatform; restartWatch serves both restarts; a probability gets a name. No change of behaviour intended.

--- a/packages/daemon/edge/EdgeDetail.h
+++ b/packages/daemon/edge/EdgeDetail.h
@@ -27,17 +27,32 @@
 void sendTo(Edge &edge, const NodeId &to, const message::Message &m);
 /// Live members without this node.
 std::vector<NodeId> otherMembers(const Edge &edge);
+/// Sends the usage counted here to the holder of the duty.
+void reportUsage(Edge &edge);
+void setHolderIfNewer(Edge &edge, const message::DutyHolderAnnouncement &announcement);
+/// As the holder, tells nodes that do not report where to report.
+void announceHolder(Edge &edge);
+
+// EdgeConfiguration.cpp
+inline constexpr const char *ConfigurationName = "operators/configuration";
 /// Takes a configuration into force if it is newer, and passes it on. `version` is 0 if only the
 /// body tells it. Returns whether it is in force now because of this call.
 bool applyConfiguration(Edge &edge, std::uint64_t version, const std::string &body,
                         const char *source);
 /// Tells all other nodes which configuration the store has confirmed to be the newest, and when.
 void announceConfiguration(Edge &edge);
-/// Sends the usage counted here to the holder of the duty.
-void reportUsage(Edge &edge);
-void setHolderIfNewer(Edge &edge, const message::DutyHolderAnnouncement &announcement);
-/// As the holder, tells nodes that do not report where to report.
-void announceHolder(Edge &edge);
+/// Handles a peer's copy of the configuration. The document store holds only configurations that
+/// are in force, so that an unreadable copy does not pass for the version that it names.
+void onConfigurationUpdate(Edge &edge, const message::DocUpdate &m, const Now &now);
+void onConfigurationStatus(Edge &edge, const NodeId &from, const message::ConfigurationStatus &m,
+                           const Now &now);
+
+// EdgeParts.cpp
+/// Keeps news of a node of another group for the nodes of the own group.
+void forwardParts(Edge &edge, const NodeId &from, const message::CachedPromptParts &m);
+/// Tells other nodes which servers have read which shared parts for this one, and what other groups
+/// have told it.
+void shareParts(Edge &edge, const Now &now);
 
 // EdgeStore.cpp
 void tickStore(Edge &edge);
--- a/packages/daemon/edge/EdgePeers.cpp
+++ b/packages/daemon/edge/EdgePeers.cpp
@@ -3,9 +3,7 @@
 
 #include "base/Hash.h"
 #include "duty/Holder.h"
-#include "membership/Groups.h"
 #include "membership/Queries.h"
-#include "platform/ConfigurationDocument.h"
 
 #include <algorithm>
 #include <utility>
@@ -15,7 +13,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr const char *ConfigurationName = "operators/configuration";
 // Members that get a piece of news from each node that learns it. In a small fleet all get it: by
 // calculation, three of nine miss one node in 1 of 64 cases.
 constexpr std::size_t SpreadFanout = 4;
@@ -24,8 +21,6 @@
 constexpr Duration AvoidHomeFor = 2s;
 // A node that has sent no usage for this long may not know who holds the duty.
 constexpr Duration SilentReporter = 1s;
-// Time between two messages about shared prompt parts in a large fleet. Each is received by many.
-constexpr Duration PartsPeriod = 300ms;
 // A fleet that shrank is taken to be as large as before for this long: its nodes may be cut off.
 constexpr Duration KnownTime = 60s;
 
@@ -44,16 +39,6 @@
     sendTo(edge, it.To, it.Body);
 }
 
-/// The document store holds only configurations that are in force, so that an unreadable copy does
-/// not pass for the version that it names.
-void onConfigurationUpdate(Edge &edge, const message::DocUpdate &m, const Now &now) {
-  const config::Document *held = config::find(edge.Documents, ConfigurationName);
-  if (held != nullptr && m.Version <= held->Version)
-    (void)config::onUpdate(edge.Documents, m, now);
-  else
-    applyConfiguration(edge, m.Version, m.Body, "peer");
-}
-
 /// Live members in the order in which they are home of a workspace.
 std::vector<const membership::Member *> homesOf(const Edge &edge, const std::string &workspace) {
   std::vector<const membership::Member *> out;
@@ -86,38 +71,6 @@
   });
 }
 
-/// The live members by name, which all nodes number alike, and the number of one of them; their
-/// count if it is unknown.
-std::size_t numberOf(const std::vector<const membership::Member *> &members,
-                     const std::string &name) {
-  const auto it =
-      std::ranges::find(members, name, [](const membership::Member *m) -> const std::string & {
-        return m->Info.Id.Name;
-      });
-  return static_cast<std::size_t>(it - members.begin());
-}
-
-/// Keeps news of a node of another group for the nodes of the own group.
-void forwardParts(Edge &edge, const NodeId &from, const message::CachedPromptParts &m) {
-  const auto members = membership::live(edge.Members);
-  const membership::Groups groups{members.size()};
-  const std::size_t sender = numberOf(members, from.Name);
-  const std::size_t own = numberOf(members, edge.Settings.Node.Name);
-  if (sender == members.size() || membership::isSameGroup(groups, sender, own))
-    return;
-  edge.RelayedParts.Servers.insert(edge.RelayedParts.Servers.end(), m.Servers.begin(),
-                                   m.Servers.end());
-}
-
-void onConfigurationStatus(Edge &edge, const NodeId &from, const message::ConfigurationStatus &m,
-                           const Now &now) {
-  config::noteVersion(edge.Documents, ConfigurationName, m.Version, from);
-  if (edge.Relay.Config == nullptr || m.Version != edge.Relay.Config->Version)
-    return;
-  std::optional<TimePoint> &newest = edge.Relay.ConfigStatus.NewestAt;
-  newest = std::max(newest, std::optional(now.Steady - m.Age));
-}
-
 /// Messages by type.
 struct Dispatch {
   Edge &E;
@@ -268,25 +221,6 @@
     sendTo(edge, it, loads);
 }
 
-/// Tells all other nodes which servers have read which shared parts for this one. In a large fleet
-/// the news goes through one node of each group.
-void shareParts(Edge &edge, const Now &now) {
-  const auto members = membership::live(edge.Members);
-  const membership::Groups groups{members.size()};
-  if (members.size() > membership::MaxSingleGroup && now.Steady < edge.NextPartsShare)
-    return;
-  edge.NextPartsShare = now.Steady + PartsPeriod;
-  const message::CachedPromptParts own = relay::takeUnsentHolders(edge.Relay.Servers.PrefixCache);
-  const message::CachedPromptParts relayed = std::exchange(edge.RelayedParts, {});
-  const std::size_t self = numberOf(members, edge.Settings.Node.Name);
-  if (!own.Servers.empty())
-    for (const std::size_t it : membership::firstHop(groups, self))
-      net::send(*edge.Peers, members[it]->Info.PeerAddress, own);
-  if (!relayed.Servers.empty())
-    for (const std::size_t it : membership::groupMates(groups, self))
-      net::send(*edge.Peers, members[it]->Info.PeerAddress, relayed);
-}
-
 } // namespace
 
 void sendTo(Edge &edge, const NodeId &to, const message::Message &m) {
@@ -360,46 +294,6 @@
     sendTo(edge, it, m);
 }
 
-bool applyConfiguration(Edge &edge, std::uint64_t version, const std::string &body,
-                        const char *source) {
-  const std::uint64_t present = edge.Relay.Config == nullptr ? 0 : edge.Relay.Config->Version;
-  if (version != 0 && version <= present)
-    return false;
-  auto parsed = adapter::parseConfiguration(body);
-  if (!parsed) {
-    logLine(edge, "config", "bad_configuration",
-            {{"source", source}, {"error", parsed.error().Message}});
-    count(edge.Counters, "bad_configuration", source);
-    return false;
-  }
-  const relay::CallerLimits limits = parsed->Limits;
-  const std::uint64_t routes = parsed->Routes.size();
-  if (!relay::configure(edge.Relay,
-                        std::make_shared<const relay::Configuration>(std::move(*parsed))))
-    return false;
-  edge.Relay.ConfigStatus.Source = source;
-  edge.Relay.ConfigStatus.InForceSince = net::readNow().Steady;
-  logLine(edge, "config", "in_force",
-          {{"version", std::to_string(edge.Relay.Config->Version)},
-           {"before", std::to_string(present)},
-           {"source", source},
-           {"routes", std::to_string(routes)}});
-  if (edge.Callers != nullptr)
-    http::setLimits(*edge.Callers, limitsOf(limits));
-  (void)config::onUpdate(edge.Documents, {ConfigurationName, edge.Relay.Config->Version, body},
-                         net::readNow());
-  return true;
-}
-
-void announceConfiguration(Edge &edge) {
-  const auto &newest = edge.Relay.ConfigStatus.NewestAt;
-  if (edge.Relay.Config == nullptr || !newest)
-    return;
-  const auto age = std::chrono::ceil<std::chrono::milliseconds>(net::readNow().Steady - *newest);
-  for (const NodeId &it : otherMembers(edge))
-    sendTo(edge, it, message::ConfigurationStatus{edge.Relay.Config->Version, age});
-}
-
 void setHolderIfNewer(Edge &edge, const message::DutyHolderAnnouncement &announcement) {
   if (announcement.Token > edge.Holder.Token)
     edge.Holder = announcement;
--- a/packages/daemon/edge/EdgeStore.cpp
+++ b/packages/daemon/edge/EdgeStore.cpp
@@ -1,5 +1,5 @@
 // Keeps the copies of the platform's store up to date.
-#include "daemon/edge/EdgeDetail.h"
+#include "daemon/edge/DutyDetail.h"
 
 #include "platform/BackendDocument.h"
 #include "platform/ConfigurationDocument.h"
@@ -68,16 +68,21 @@
   count(edge.Counters, "store_failed", mirror.Options.Prefix);
 }
 
+/// Cancels the pending watch of a mirror, so that the next tick starts another.
+void restartWatch(Edge &edge, store::Mirror &mirror) {
+  const auto call = edge.MirrorCalls.find(mirror.Options.Prefix);
+  if (!mirror.Watching || call == edge.MirrorCalls.end())
+    return;
+  http::cancelCall(*edge.Platform, call->second);
+  edge.MirrorCalls.erase(call);
+  store::onInterrupted(mirror, net::readNow());
+}
+
 /// A watch that waits since before an outage may never be answered: the store has forgotten it.
 void restartWatches(Edge &edge, const store::Mirror &regained) {
-  for (store::Mirror *it : {&edge.OperatorItems, &edge.ServerItems, &edge.OwnItems}) {
-    const auto call = edge.MirrorCalls.find(it->Options.Prefix);
-    if (it == &regained || !it->Watching || call == edge.MirrorCalls.end())
-      continue;
-    http::cancelCall(*edge.Platform, call->second);
-    edge.MirrorCalls.erase(call);
-    store::onInterrupted(*it, net::readNow());
-  }
+  for (store::Mirror *it : {&edge.OperatorItems, &edge.ServerItems, &edge.OwnItems})
+    if (it != &regained)
+      restartWatch(edge, *it);
 }
 
 void onAnswer(Edge &edge, store::Mirror &mirror, const store::MirrorCall &call, int status,
@@ -151,16 +156,6 @@
                       std::move(events));
 }
 
-/// The pending watch of the operators' items did not report what a check has found.
-void restartOperatorWatch(Edge &edge) {
-  const auto call = edge.MirrorCalls.find(edge.OperatorItems.Options.Prefix);
-  if (call == edge.MirrorCalls.end())
-    return;
-  http::cancelCall(*edge.Platform, call->second);
-  edge.MirrorCalls.erase(call);
-  store::onInterrupted(edge.OperatorItems, net::readNow());
-}
-
 void onCheckAnswer(Edge &edge, int status, const std::string &body) {
   store::Mirror &mirror = edge.OperatorItems;
   const auto changes = status == 200 ? adapter::readChanges(body) : std::nullopt;
@@ -168,7 +163,7 @@
     store::onCheckFailed(mirror);
     count(edge.Counters, "store_failed", "check");
     if (status == adapter::HistoryLostStatus) {
-      restartOperatorWatch(edge);
+      restartWatch(edge, mirror);
       store::onHistoryLost(mirror, net::readNow());
     }
     return;
@@ -176,7 +171,7 @@
   const bool changed = store::onCheck(mirror, *changes);
   if (changed) {
     logLine(edge, "store", "late_watch", {{"prefix", mirror.Options.Prefix}});
-    restartOperatorWatch(edge);
+    restartWatch(edge, mirror);
     onOperatorItems(edge);
   }
   noteConfirmed(edge);
@@ -196,16 +191,8 @@
   if (!check)
     return;
   count(edge.Counters, "store_calls", "check");
-  auto body = std::make_shared<std::string>();
-  auto status = std::make_shared<int>(0);
-  http::CallEvents events;
-  events.OnHead = [status](const http::ResponseHead &head) { *status = head.Status; };
-  events.OnData = [body](std::string_view bytes) { body->append(bytes); };
-  events.OnEnd = [&edge, status, body](const http::End &end) {
-    onCheckAnswer(edge, end.Failure == http::Failure::None ? *status : 0, *body);
-  };
-  (void)http::startCall(*edge.Platform, adapter::checkCall(edge.Settings.Edge.StoreAddress, *check),
-                        std::move(events));
+  callPlatform(edge, adapter::checkCall(edge.Settings.Edge.StoreAddress, *check),
+               [&edge](int status, const std::string &body) { onCheckAnswer(edge, status, body); });
 }
 
 } // namespace
--- a/packages/relay/Relay.cpp
+++ b/packages/relay/Relay.cpp
@@ -24,6 +24,10 @@
 // started knows nothing, and gossip may miss a node.
 constexpr Duration QuarantineSharePeriod = 1s;
 
+// Requests with a quarantined prompt that all nodes together send on average, if each of them gets
+// one. Below one, because more may arrive before all nodes know how the first has ended.
+constexpr double ProbesOfAllNodes = 0.5;
+
 // Number of route priorities per workspace priority. The priority of the workspace is compared
 // first, that of the route only among workspaces of equal priority.
 constexpr int RoutePriorityLevels = 3;
@@ -78,19 +82,18 @@
 }
 
 /// Returns true if requests with this content have crashed too many servers.
-bool isQuarantined(const State &state, std::uint64_t contentHash) {
+bool isContentQuarantined(const State &state, std::uint64_t contentHash) {
   const auto it = state.Quarantine.Crashes.find(contentHash);
   return it != state.Quarantine.Crashes.end() &&
          it->second.Backends.size() >= detail::CrashesToRefuse;
 }
 
-/// Decides whether this node sends one request that is quarantined because of its prompt. One of
-/// two nodes does on average before all of them know how it ended.
+/// Decides whether this node sends one request that is quarantined because of its prompt.
 bool sendsProbe(const Context &ctx, const RequestInfo &info) {
   if (!retry::isProbeDue(ctx.S.PartQuarantine, sharedParts(info.Prompt), ctx.Time))
     return false;
-  return std::bernoulli_distribution(0.5 /
-                                     double(std::max<std::size_t>(1, ctx.S.LiveNodes)))(ctx.Rng);
+  const double nodes = double(std::max<std::size_t>(1, ctx.S.LiveNodes));
+  return std::bernoulli_distribution(ProbesOfAllNodes / nodes)(ctx.Rng);
 }
 
 /// Registers the request and dispatches it, or lets it wait for tokens of its rate limit.
@@ -217,7 +220,7 @@
   const bool isPartQuarantined =
       retry::isQuarantined(state.PartQuarantine, sharedParts(info.Prompt));
   const bool isProbe = isPartQuarantined && sendsProbe(ctx, info);
-  if (isQuarantined(state, info.ContentHash) || (isPartQuarantined && !isProbe)) {
+  if (isContentQuarantined(state, info.ContentHash) || (isPartQuarantined && !isProbe)) {
     refuseUnadmitted(ctx, id, info, ResultCode::Quarantined, 503, detail::QuarantineRetryAfter);
     return;
   }
