--- a/packages/relay/SuspectPartsTest.cpp
+++ b/packages/relay/SuspectPartsTest.cpp
@@ -17,7 +17,7 @@
 
   PromptFixture() : Fixture(6) {}
 
-  RequestId ask(std::vector<std::uint64_t> sharedParts, const char *path = "/resumed/x") {
+  RequestId ask(const std::vector<std::uint64_t> &sharedParts, const char *path = "/resumed/x") {
     RequestInfo info;
     info.AttemptId = "p" + std::to_string(NextId);
     info.Host = "h";
--- a/packages/retry/PartQuarantine.cpp
+++ b/packages/retry/PartQuarantine.cpp
@@ -179,7 +179,7 @@
 
 /// Adds an observation. Returns the suspects that were new.
 std::vector<message::PromptParts> addDeath(PartQuarantine &quarantine, std::uint64_t server,
-                                           TimePoint at, std::vector<Parts> suspects) {
+                                           TimePoint at, const std::vector<Parts> &suspects) {
   Death *death = findDeath(quarantine, server, at);
   if (death == nullptr) {
     if (quarantine.Deaths.size() >= MaxDeaths)
@@ -214,9 +214,9 @@
 } // namespace
 
 message::PartEvidence recordDeath(PartQuarantine &quarantine, std::uint64_t server,
-                                  std::vector<Parts> suspects, const Now &now) {
+                                  const std::vector<Parts> &suspects, const Now &now) {
   message::PartEvidence out;
-  auto added = addDeath(quarantine, server, now.Steady, std::move(suspects));
+  auto added = addDeath(quarantine, server, now.Steady, suspects);
   if (added.empty())
     return out;
   appendOwnSuccesses(quarantine, added, now, out);
@@ -258,7 +258,7 @@
     std::vector<Parts> suspects;
     for (const message::PromptParts &request : it.Suspects)
       suspects.push_back(request.Parts);
-    auto added = addDeath(quarantine, it.Server, now.Steady - it.Age, std::move(suspects));
+    auto added = addDeath(quarantine, it.Server, now.Steady - it.Age, suspects);
     if (added.empty())
       continue;
     appendOwnSuccesses(quarantine, added, now, out);
--- a/packages/retry/PartQuarantine.h
+++ b/packages/retry/PartQuarantine.h
@@ -72,7 +72,7 @@
 /// Records that the answers of a server to these requests broke off as they began. Returns the
 /// evidence for the peers.
 message::PartEvidence recordDeath(PartQuarantine &quarantine, std::uint64_t server,
-                                  std::vector<Parts> suspects, const Now &now);
+                                  const std::vector<Parts> &suspects, const Now &now);
 
 /// Records an answer that began and went on. Returns evidence for the peers if one of the parts is
 /// suspect and they may not know of a success since then; otherwise it is empty.
