--- a/packages/config/Store.h
+++ b/packages/config/Store.h
@@ -108,9 +108,9 @@
 /// Applies an update from a peer or from a watch of the key-value service.
 Effects onUpdate(Store &store, const message::DocUpdate &update, const Now &now);
 
-/// Sends the documents that the peer lacks or holds in an older version, or a digest for large ones,
-/// and requests those that this node lacks or holds in an older version, unless they have been
-/// requested already.
+/// Sends the documents that the peer lacks or holds in an older version, or a digest for large
+/// ones, and requests those that this node lacks or holds in an older version, unless they have
+/// been requested already.
 Effects onDigest(Store &store, const NodeId &from, const message::DocDigest &digest,
                  const Now &now);
 
