relay: a stream that waited at its server is not stalled when its answer begins

Cause: the time without data counted from the send, and the cut applies as soon as the head has arrived, so that a long wait at the server ended the stream before its first event. Change: the time counts from the head. Test: WaitingAtTheServerIsNoStall failed before (aborted, no end) and passes now.

--- a/packages/relay/BackendEvents.cpp
+++ b/packages/relay/BackendEvents.cpp
@@ -183,7 +183,7 @@
   }
   request->Status = head.Status;
   request->IsGenuine = head.IsGenuine;
-  request->AnswerBegan = now.Steady;
+  request->AnswerBegan = request->LastProgress = now.Steady;
   if (isStreamed(*request) && request->Stage != Stage::Streaming) {
     request->Stage = Stage::Streaming;
     out.push_back(BeginStream{request->Id, call});
--- a/packages/relay/TroubledServersTest.cpp
+++ b/packages/relay/TroubledServersTest.cpp
@@ -130,6 +130,22 @@
   }
 }
 
+// Guards against a sound stream that is cut as its answer begins, because it waited at its server
+// for longer than a stream may stall.
+BOOST_AUTO_TEST_CASE(WaitingAtTheServerIsNoStall) {
+  Fixture f;
+  f.request("/once/x");
+  const CallId call = f.call().Call;
+  f.S.ActiveRequests.begin()->second.GiveUp = f.Time.Steady + 1h;
+  f.wait(8s);
+  f.head(call, 200);
+  f.wait(20ms);
+  f.bytes(call, "data: 1\n\n");
+  f.end(call, BackendEnd::Complete);
+  BOOST_TEST(f.all<AbortStream>().empty());
+  BOOST_TEST(f.all<EndStream>().size() == 1U);
+}
+
 // Guards against a stalled stream that lives because its server sends a byte now and then, and
 // against a slow one that is cut although it makes progress.
 BOOST_AUTO_TEST_CASE(StalledStreamsEndAndSlowOnesLive) {
