--- a/packages/relay/BackendEvents.cpp
+++ b/packages/relay/BackendEvents.cpp
@@ -3,6 +3,7 @@
 #include "relay/detail/BackendCalls.h"
 #include "relay/detail/Context.h"
 #include "relay/detail/Dispatch.h"
+#include "relay/detail/Limits.h"
 #include "relay/detail/Outcome.h"
 #include "relay/detail/SuspectParts.h"
 
@@ -171,6 +172,7 @@
   if (request == nullptr)
     return;
   Context ctx{state, out, now, rng};
+  detail::onLimitStated(ctx, *request, head.Limit);
   if (head.NotRun || head.WrongServer) {
     if (head.Status == 400 && head.IsGenuine) {
       request->Status = head.Status;
--- a/packages/relay/BackendHead.h
+++ b/packages/relay/BackendHead.h
@@ -2,6 +2,8 @@
 #ifndef CHERVIL_RELAY_BACKENDHEAD_H
 #define CHERVIL_RELAY_BACKENDHEAD_H
 
+#include "relay/RequestLimit.h"
+
 #include <cstdint>
 
 namespace chervil::relay {
@@ -15,6 +17,7 @@
   bool NotRun = false;
   /// The address now belongs to another server.
   bool WrongServer = false;
+  StatedLimit Limit;
 };
 
 /// How a call to a backend server ended.
--- a/packages/relay/Backends.h
+++ b/packages/relay/Backends.h
@@ -13,6 +13,7 @@
 #include "relay/PeerLoads.h"
 #include "relay/PrefixCacheIndex.h"
 #include "relay/RequestInfo.h"
+#include "relay/RequestLimit.h"
 
 #include <map>
 #include <optional>
@@ -42,6 +43,8 @@
   unsigned ConsecutiveFailures = 0;
   /// Until this time it gets new requests only if no other server is eligible.
   TimePoint AvoidUntil{};
+  /// Empty if no statement about its limit is known.
+  std::optional<RequestLimit> Limit;
 };
 
 /// A server that is leaving, identified by its id and its start.
