--- a/packages/daemon/edge/DutyDetail.h
+++ b/packages/daemon/edge/DutyDetail.h
@@ -18,11 +18,6 @@
 inline constexpr const char *RecordKey = "chervil/usage/last";
 inline constexpr const char *BookKey = "chervil/usage/counts";
 
-using OnResult = std::function<void(int status, const std::string &body)>;
-
-/// Calls the platform and collects the answer; status 0 stands for none.
-void callPlatform(Edge &edge, http::Call what, OnResult onResult);
-
 /// This node as the holder of the duty.
 adapter::DutyHolder holderOf(const Edge &edge);
 
--- a/packages/daemon/edge/Edge.h
+++ b/packages/daemon/edge/Edge.h
@@ -79,6 +79,8 @@
   store::Mirror OperatorItems;
   store::Mirror ServerItems;
   store::Mirror OwnItems;
+  /// How often the store has come back from an older copy, as far as this node knows.
+  std::uint64_t StoreEra = 0;
   /// Revision of the list of backend servers in use, from the store or a peer.
   std::uint64_t ListRevision = 0;
   /// That list as other nodes compare it, and its digest.
--- a/packages/daemon/edge/EdgeDetail.h
+++ b/packages/daemon/edge/EdgeDetail.h
@@ -70,6 +70,24 @@
 /// have told it.
 void shareParts(Edge &edge, const Now &now);
 
+// EdgePlatform.cpp
+/// The answer to a call to the platform.
+struct PlatformAnswer {
+  /// 0 if there was none.
+  int Status = 0;
+  std::string Body;
+  /// The store's era; see noteEra().
+  std::uint64_t Era = 0;
+  http::Failure Failure = http::Failure::None;
+};
+using OnAnswer = std::function<void(const PlatformAnswer &answer)>;
+/// Calls the platform and collects the answer. Returns the id of the call.
+std::uint64_t callPlatform(Edge &edge, http::Call what, OnAnswer onAnswer);
+/// Handles the era of an answer of the store, or of a message from a peer. The store may come back
+/// from an older copy: its revisions go back and are given out again, and each return starts a new
+/// era.
+void noteEra(Edge &edge, std::uint64_t era, const char *source);
+
 // EdgeStore.cpp
 void tickStore(Edge &edge);
 /// True if this node is one of those that watch the store and read the list for all.
--- a/packages/daemon/edge/EdgeDuty.cpp
+++ b/packages/daemon/edge/EdgeDuty.cpp
@@ -102,26 +102,14 @@
     return;
   count(edge.Counters, "store_calls", "lease");
   callPlatform(edge, leaseCall(edge, *next),
-               [&edge, what = next->Type](int status, const std::string &body) {
-                 onLeaseResult(edge, what, status, body);
+               [&edge, what = next->Type](const PlatformAnswer &answer) {
+                 onLeaseResult(edge, what, answer.Status, answer.Body);
                  tickDuty(edge);
                });
 }
 
 } // namespace
 
-void callPlatform(Edge &edge, http::Call what, OnResult onResult) {
-  auto body = std::make_shared<std::string>();
-  auto status = std::make_shared<int>(0);
-  http::CallEvents events;
-  events.OnHead = [status](const http::ResponseHead &head) { *status = head.Status; };
-  events.OnData = [body](std::string_view bytes) { body->append(bytes); };
-  events.OnEnd = [status, body, onResult = std::move(onResult)](const http::End &end) {
-    onResult(end.Failure == http::Failure::None ? *status : 0, *body);
-  };
-  http::startCall(*edge.Platform, std::move(what), std::move(events));
-}
-
 adapter::DutyHolder holderOf(const Edge &edge) {
   return {edge.Settings.Node.Name, edge.Lease.FencingToken};
 }
--- a/packages/daemon/edge/EdgeList.cpp
+++ b/packages/daemon/edge/EdgeList.cpp
@@ -53,8 +53,14 @@
   const bool isNewest = edge.ServerItems.Revision >= edge.ListRevision;
   edge.ListRevision = std::max(edge.ListRevision, edge.ServerItems.Revision);
   store::scheduleNextRead(edge.ServerItems, readingRank(edge), net::readNow());
-  if (!isNewest)
+  if (!isNewest) {
+    count(edge.Counters, "list_reading_dropped", "older");
+    logLine(edge, "backends", "list_reading_dropped",
+            {{"revision", std::to_string(edge.ServerItems.Revision)},
+             {"known", std::to_string(edge.ListRevision)},
+             {"era", std::to_string(edge.StoreEra)}});
     return;
+  }
   useEntries(edge, std::move(list), keepMissing);
   // After the news of departures, which are effects of the list.
   handle(edge, [&edge](relay::Effects &, const Now &) {
--- a/packages/daemon/edge/EdgeOrders.cpp
+++ b/packages/daemon/edge/EdgeOrders.cpp
@@ -38,7 +38,7 @@
 void order(Edge &edge, const std::string &service, const fleet::ZoneOrder &what) {
   const adapter::ServerOrder order{service, what.DataCentre, what.Reclaimable, what.Count};
   callPlatform(edge, adapter::orderCall(edge.Settings.Edge.DutyAddress, holderOf(edge), order),
-               [&edge, service, what](int status, const std::string &) {
+               [&edge, service, what](const PlatformAnswer &answer) {
                  logLine(edge, "duty", "servers_ordered",
                          {{"service", service},
                           {"data_centre", what.DataCentre},
@@ -46,8 +46,9 @@
                           {"count", std::to_string(what.Count)},
                           {"needed", std::to_string(edge.Orders[service].Needed)},
                           {"token", std::to_string(edge.Lease.FencingToken)},
-                          {"status", std::to_string(status)}});
-                 fleet::onOrderResult(edge.Orders[service], what, resultOf(status), net::readNow());
+                          {"status", std::to_string(answer.Status)}});
+                 fleet::onOrderResult(edge.Orders[service], what, resultOf(answer.Status),
+                                      net::readNow());
                });
 }
 
--- a/packages/daemon/edge/EdgeStore.cpp
+++ b/packages/daemon/edge/EdgeStore.cpp
@@ -1,5 +1,5 @@
 // Keeps the copies of the platform's store up to date.
-#include "daemon/edge/DutyDetail.h"
+#include "daemon/edge/EdgeDetail.h"
 
 #include "platform/BackendDocument.h"
 #include "platform/ConfigurationDocument.h"
@@ -85,26 +85,30 @@
       restartWatch(edge, *it);
 }
 
-void onAnswer(Edge &edge, store::Mirror &mirror, const store::MirrorCall &call, int status,
-              const std::string &body, OnChanged onChanged) {
+void onAnswer(Edge &edge, store::Mirror &mirror, const store::MirrorCall &call,
+              const PlatformAnswer &answer, OnChanged onChanged) {
+  if (answer.Failure != http::Failure::None) {
+    onFailure(edge, mirror, http::toString(answer.Failure));
+    return;
+  }
   const Now now = net::readNow();
   const bool wasLost = mirror.Failures > 0;
   bool changed = false;
-  if (status == adapter::HistoryLostStatus) {
+  if (answer.Status == adapter::HistoryLostStatus) {
     logLine(edge, "store", "history_lost", {{"prefix", mirror.Options.Prefix}});
     store::onHistoryLost(mirror, now);
-  } else if (status != 200) {
-    onFailure(edge, mirror, "status " + std::to_string(status));
+  } else if (answer.Status != 200) {
+    onFailure(edge, mirror, "status " + std::to_string(answer.Status));
     return;
   } else if (call.Type == store::MirrorCall::Kind::Watch) {
-    const auto changes = adapter::readChanges(body);
+    const auto changes = adapter::readChanges(answer.Body);
     if (!changes) {
       onFailure(edge, mirror, "unreadable answer");
       return;
     }
     changed = store::onChanges(mirror, *changes, now);
   } else {
-    auto page = adapter::readPage(body);
+    auto page = adapter::readPage(answer.Body);
     if (!page) {
       onFailure(edge, mirror, "unreadable answer");
       return;
@@ -138,31 +142,22 @@
     return;
   count(edge.Counters, "store_calls",
         call->Type == store::MirrorCall::Kind::Watch ? "watch" : "range");
-  auto body = std::make_shared<std::string>();
-  auto status = std::make_shared<int>(0);
-  http::CallEvents events;
-  events.OnHead = [status](const http::ResponseHead &head) { *status = head.Status; };
-  events.OnData = [body](std::string_view bytes) { body->append(bytes); };
-  events.OnEnd = [&edge, &mirror, onChanged, call = *call, status, body](const http::End &end) {
-    edge.MirrorCalls.erase(mirror.Options.Prefix);
-    if (end.Failure != http::Failure::None)
-      onFailure(edge, mirror, http::toString(end.Failure));
-    else
-      onAnswer(edge, mirror, call, *status, *body, onChanged);
-    advance(edge, mirror, onChanged);
-  };
   edge.MirrorCalls[mirror.Options.Prefix] =
-      http::startCall(*edge.Platform, adapter::mirrorCall(edge.Settings.Edge.StoreAddress, *call),
-                      std::move(events));
+      callPlatform(edge, adapter::mirrorCall(edge.Settings.Edge.StoreAddress, *call),
+                   [&edge, &mirror, onChanged, call = *call](const PlatformAnswer &answer) {
+                     edge.MirrorCalls.erase(mirror.Options.Prefix);
+                     onAnswer(edge, mirror, call, answer, onChanged);
+                     advance(edge, mirror, onChanged);
+                   });
 }
 
-void onCheckAnswer(Edge &edge, int status, const std::string &body) {
+void onCheckAnswer(Edge &edge, const PlatformAnswer &answer) {
   store::Mirror &mirror = edge.OperatorItems;
-  const auto changes = status == 200 ? adapter::readChanges(body) : std::nullopt;
+  const auto changes = answer.Status == 200 ? adapter::readChanges(answer.Body) : std::nullopt;
   if (!changes) {
     store::onCheckFailed(mirror);
     count(edge.Counters, "store_failed", "check");
-    if (status == adapter::HistoryLostStatus) {
+    if (answer.Status == adapter::HistoryLostStatus) {
       restartWatch(edge, mirror);
       store::onHistoryLost(mirror, net::readNow());
     }
@@ -192,7 +187,7 @@
     return;
   count(edge.Counters, "store_calls", "check");
   callPlatform(edge, adapter::checkCall(edge.Settings.Edge.StoreAddress, *check),
-               [&edge](int status, const std::string &body) { onCheckAnswer(edge, status, body); });
+               [&edge](const PlatformAnswer &answer) { onCheckAnswer(edge, answer); });
 }
 
 } // namespace
--- a/packages/daemon/edge/EdgeUsage.cpp
+++ b/packages/daemon/edge/EdgeUsage.cpp
@@ -17,30 +17,31 @@
 
 void readRecord(Edge &edge) {
   edge.Posting.StepPending = true;
-  callPlatform(edge, adapter::itemCall(edge.Settings.Edge.StoreAddress, RecordKey),
-               [&edge](int status, const std::string &body) {
-                 edge.Posting.StepPending = false;
-                 if (status == adapter::NotFoundStatus) {
-                   duty::onRecordRead(edge.Posting, std::nullopt, 0);
-                   return;
-                 }
-                 const auto item = status == 200 ? adapter::readItem(body) : std::nullopt;
-                 if (!item)
-                   return;
-                 duty::onRecordRead(edge.Posting, adapter::decodeRecord(item->Value),
-                                    item->Revision);
-               });
+  callPlatform(
+      edge, adapter::itemCall(edge.Settings.Edge.StoreAddress, RecordKey),
+      [&edge](const PlatformAnswer &answer) {
+        edge.Posting.StepPending = false;
+        if (answer.Status == adapter::NotFoundStatus) {
+          duty::onRecordRead(edge.Posting, std::nullopt, 0);
+          return;
+        }
+        const auto item = answer.Status == 200 ? adapter::readItem(answer.Body) : std::nullopt;
+        if (!item)
+          return;
+        duty::onRecordRead(edge.Posting, adapter::decodeRecord(item->Value), item->Revision);
+      });
 }
 
 void readBook(Edge &edge) {
   edge.BookBusy = true;
   callPlatform(edge, adapter::itemCall(edge.Settings.Edge.StoreAddress, BookKey),
-               [&edge](int status, const std::string &body) {
+               [&edge](const PlatformAnswer &answer) {
                  edge.BookBusy = false;
-                 const auto item = status == 200 ? adapter::readItem(body) : std::nullopt;
+                 const auto item =
+                     answer.Status == 200 ? adapter::readItem(answer.Body) : std::nullopt;
                  if (item)
                    duty::mergeReport(edge.Usage, adapter::decodeReport(item->Value));
-                 edge.BookKnown = item.has_value() || status == adapter::NotFoundStatus;
+                 edge.BookKnown = item.has_value() || answer.Status == adapter::NotFoundStatus;
                });
 }
 
@@ -62,9 +63,9 @@
   write.Key = BookKey;
   write.Value = adapter::encodeReport(report);
   callPlatform(edge, adapter::writeCall(edge.Settings.Edge.StoreAddress, write),
-               [&edge](int status, const std::string &) {
+               [&edge](const PlatformAnswer &answer) {
                  edge.BookBusy = false;
-                 if (status != 200)
+                 if (answer.Status != 200)
                    count(edge.Counters, "store_failed", "counts");
                });
 }
@@ -80,13 +81,13 @@
   callPlatform(
       edge,
       adapter::usageCall(edge.Settings.Edge.DutyAddress, holderOf(edge), step.Window, step.Counts),
-      [&edge, step](int status, const std::string &) {
+      [&edge, step](const PlatformAnswer &answer) {
         logLine(edge, "duty", "usage_posted",
                 {{"window", std::to_string(step.Window)},
                  {"requests", summary(step.Counts)},
                  {"token", std::to_string(edge.Lease.FencingToken)},
-                 {"status", std::to_string(status)}});
-        if (status == 200)
+                 {"status", std::to_string(answer.Status)}});
+        if (answer.Status == 200)
           duty::onPosted(edge.Posting);
         else
           duty::onStepFailed(edge.Posting, step);
@@ -99,8 +100,9 @@
   write.Key = RecordKey;
   write.Value = adapter::encodeRecord({step.Window, step.Counts});
   callPlatform(edge, adapter::writeCall(edge.Settings.Edge.StoreAddress, write),
-               [&edge, step](int status, const std::string &body) {
-                 const auto revision = status == 200 ? adapter::readRevision(body) : std::nullopt;
+               [&edge, step](const PlatformAnswer &answer) {
+                 const auto revision =
+                     answer.Status == 200 ? adapter::readRevision(answer.Body) : std::nullopt;
                  if (revision)
                    duty::onRecorded(edge.Posting, step, *revision);
                  else
