store, daemon: readings of the store are ordered by era and revision

Cause: readings of the list of servers, a node's own and those of peers, were ordered by revision alone. The same comparison stood in the mirrors: a watch goes on from a revision that the store has passed again and misses what was written between.

Change: store::Position is an era and a revision. Readings and the messages that share them name the era; a node that learns of a later one, from any answer of the store or from a peer, reads all items again, ignores answers to calls that began before, and waits for missing servers as after an outage.

Messages between nodes: BackendListDelta, -Copy and -Request have an era.

--- a/packages/daemon/edge/Edge.h
+++ b/packages/daemon/edge/Edge.h
@@ -81,8 +81,8 @@
   store::Mirror OwnItems;
   /// How often the store has come back from an older copy, as far as this node knows.
   std::uint64_t StoreEra = 0;
-  /// Revision of the list of backend servers in use, from the store or a peer.
-  std::uint64_t ListRevision = 0;
+  /// Reading of the list of backend servers in use, by this node or a peer.
+  store::Position ListPosition;
   /// That list as other nodes compare it, and its digest.
   relay::BackendListSnapshot List;
   std::uint64_t ListDigest = 0;
--- a/packages/daemon/edge/EdgeDetail.h
+++ b/packages/daemon/edge/EdgeDetail.h
@@ -87,9 +87,15 @@
 /// from an older copy: its revisions go back and are given out again, and each return starts a new
 /// era.
 void noteEra(Edge &edge, std::uint64_t era, const char *source);
+/// True if the answer to a call that began in the era `begun`, 0 if unknown, belongs to `current`.
+inline bool isSameEra(std::uint64_t current, std::uint64_t begun) {
+  return begun == 0 || begun == current;
+}
 
 // EdgeStore.cpp
 void tickStore(Edge &edge);
+/// Reads all items of the store again, which has come back from an older copy.
+void onStoreRestored(Edge &edge);
 /// True if this node is one of those that watch the store and read the list for all.
 bool isWatcher(const Edge &edge);
 const store::Item *holderItem(const Edge &edge);
--- a/packages/daemon/edge/EdgeList.cpp
+++ b/packages/daemon/edge/EdgeList.cpp
@@ -22,8 +22,9 @@
 }
 
 /// Takes another node's list into use, and what that node was told about departures.
-void useShared(Edge &edge, const relay::BackendListSnapshot &list, std::uint64_t revision) {
-  edge.ListRevision = revision;
+void useShared(Edge &edge, const relay::BackendListSnapshot &list,
+               const store::Position &position) {
+  edge.ListPosition = position;
   useEntries(edge, relay::toEntries(list), false);
   handle(edge, [&edge, list](relay::Effects &out, const Now &now) {
     for (const message::BackendCopy &it : list)
@@ -33,11 +34,17 @@
   });
 }
 
+/// Asks for a later list than the one in use.
+message::BackendListRequest requestOfNewer(const Edge &edge) {
+  return {edge.ListPosition.Revision, edge.ListPosition.Era};
+}
+
 /// Place of this node in the order in which nodes read the list next: the watchers, then all
 /// others; drawn anew with each reading, alike on all nodes.
 std::size_t readingRank(const Edge &edge) {
   const auto placeOf = [&](const NodeId &id) {
-    return std::pair(edge.Watchers.contains(id.Name), hashBytes(id.Name, edge.ListRevision));
+    return std::pair(edge.Watchers.contains(id.Name),
+                     hashBytes(id.Name, edge.ListPosition.Revision));
   };
   const auto own = placeOf(membership::self(edge.Members).Info.Id);
   std::size_t rank = 0;
@@ -50,15 +57,17 @@
 
 void onListRead(Edge &edge, std::vector<relay::BackendEntry> list, bool keepMissing) {
   // Another node's later reading may have arrived meanwhile.
-  const bool isNewest = edge.ServerItems.Revision >= edge.ListRevision;
-  edge.ListRevision = std::max(edge.ListRevision, edge.ServerItems.Revision);
+  const store::Position position{edge.ServerItems.Era, edge.ServerItems.Revision};
+  const bool isNewest = position >= edge.ListPosition;
+  edge.ListPosition = std::max(edge.ListPosition, position);
   store::scheduleNextRead(edge.ServerItems, readingRank(edge), net::readNow());
   if (!isNewest) {
     count(edge.Counters, "list_reading_dropped", "older");
     logLine(edge, "backends", "list_reading_dropped",
-            {{"revision", std::to_string(edge.ServerItems.Revision)},
-             {"known", std::to_string(edge.ListRevision)},
-             {"era", std::to_string(edge.StoreEra)}});
+            {{"revision", std::to_string(position.Revision)},
+             {"era", std::to_string(position.Era)},
+             {"known_revision", std::to_string(edge.ListPosition.Revision)},
+             {"known_era", std::to_string(edge.ListPosition.Era)}});
     return;
   }
   useEntries(edge, std::move(list), keepMissing);
@@ -66,22 +75,26 @@
   handle(edge, [&edge](relay::Effects &, const Now &) {
     const relay::BackendListSnapshot before = std::move(edge.List);
     rememberList(edge);
-    const message::BackendListDelta delta = relay::diffLists(before, edge.List, edge.ListRevision);
+    message::BackendListDelta delta =
+        relay::diffLists(before, edge.List, edge.ListPosition.Revision);
+    delta.Era = edge.ListPosition.Era;
     for (const NodeId &it : otherMembers(edge))
       sendTo(edge, it, delta);
   });
 }
 
 void onListDelta(Edge &edge, const std::string &from, const message::BackendListDelta &delta) {
-  if (delta.Revision <= edge.ListRevision)
+  noteEra(edge, delta.Era, "peer");
+  const store::Position position{delta.Era, delta.Revision};
+  if (position <= edge.ListPosition)
     return;
   if (delta.After == edge.ListDigest) {
-    edge.ListRevision = delta.Revision;
+    edge.ListPosition = position;
   } else if (const auto list = relay::applyListDiff(edge.List, delta)) {
-    useShared(edge, *list, delta.Revision);
+    useShared(edge, *list, position);
   } else {
     count(edge.Counters, "retry", "list_differs");
-    net::send(*edge.Peers, from, message::BackendListRequest{edge.ListRevision});
+    net::send(*edge.Peers, from, requestOfNewer(edge));
     return;
   }
   store::onSharedRead(edge.ServerItems, readingRank(edge), net::readNow());
@@ -89,19 +102,22 @@
 
 void onListRequest(Edge &edge, const std::string &from,
                    const message::BackendListRequest &request) {
-  if (edge.ListRevision > request.Revision)
-    net::send(
-        *edge.Peers, from,
-        message::BackendListCopy{edge.ListRevision, relay::takeListSnapshot(edge.Relay.Servers)});
+  if (edge.ListPosition > store::Position{request.Era, request.Revision})
+    net::send(*edge.Peers, from,
+              message::BackendListCopy{edge.ListPosition.Revision,
+                                       relay::takeListSnapshot(edge.Relay.Servers),
+                                       edge.ListPosition.Era});
 }
 
 void onListCopy(Edge &edge, const message::BackendListCopy &copy) {
-  if (copy.Revision <= edge.ListRevision)
+  noteEra(edge, copy.Era, "peer");
+  const store::Position position{copy.Era, copy.Revision};
+  if (position <= edge.ListPosition)
     return;
   logLine(edge, "backends", "list_from_peer",
           {{"revision", std::to_string(copy.Revision)},
            {"servers", std::to_string(copy.Backends.size())}});
-  useShared(edge, copy.Backends, copy.Revision);
+  useShared(edge, copy.Backends, position);
 }
 
 void askForList(Edge &edge) {
@@ -110,7 +126,7 @@
     return;
   std::uniform_int_distribution<std::size_t> pick(0, others.size() - 1);
   for (int i = 0; i < 2; ++i)
-    sendTo(edge, others[pick(edge.Rng)], message::BackendListRequest{edge.ListRevision});
+    sendTo(edge, others[pick(edge.Rng)], requestOfNewer(edge));
 }
 
 } // namespace chervil::daemon::detail
--- a/packages/daemon/edge/EdgePlatform.cpp
+++ b/packages/daemon/edge/EdgePlatform.cpp
@@ -34,12 +34,13 @@
           {{"era", std::to_string(era)},
            {"before", std::to_string(edge.StoreEra)},
            {"source", source},
-           {"list_revision", std::to_string(edge.ListRevision)},
+           {"list_revision", std::to_string(edge.ListPosition.Revision)},
            {"configuration_revision", std::to_string(edge.OperatorItems.Revision)},
            {"duty_revision", std::to_string(edge.OwnItems.Revision)},
            {"token", std::to_string(edge.Lease.FencingToken)}});
   count(edge.Counters, "store_era", source);
   edge.StoreEra = era;
+  onStoreRestored(edge);
 }
 
 } // namespace chervil::daemon::detail
--- a/packages/daemon/edge/EdgeStore.cpp
+++ b/packages/daemon/edge/EdgeStore.cpp
@@ -142,17 +142,24 @@
     return;
   count(edge.Counters, "store_calls",
         call->Type == store::MirrorCall::Kind::Watch ? "watch" : "range");
-  edge.MirrorCalls[mirror.Options.Prefix] =
-      callPlatform(edge, adapter::mirrorCall(edge.Settings.Edge.StoreAddress, *call),
-                   [&edge, &mirror, onChanged, call = *call](const PlatformAnswer &answer) {
-                     edge.MirrorCalls.erase(mirror.Options.Prefix);
-                     onAnswer(edge, mirror, call, answer, onChanged);
-                     advance(edge, mirror, onChanged);
-                   });
+  edge.MirrorCalls[mirror.Options.Prefix] = callPlatform(
+      edge, adapter::mirrorCall(edge.Settings.Edge.StoreAddress, *call),
+      [&edge, &mirror, onChanged, call = *call, era = mirror.Era](const PlatformAnswer &answer) {
+        edge.MirrorCalls.erase(mirror.Options.Prefix);
+        if (mirror.Era == era)
+          onAnswer(edge, mirror, call, answer, onChanged);
+        else
+          store::onInterrupted(mirror, net::readNow());
+        advance(edge, mirror, onChanged);
+      });
 }
 
-void onCheckAnswer(Edge &edge, const PlatformAnswer &answer) {
+void onCheckAnswer(Edge &edge, std::uint64_t era, const PlatformAnswer &answer) {
   store::Mirror &mirror = edge.OperatorItems;
+  if (!isSameEra(mirror.Era, era)) {
+    store::onCheckFailed(mirror);
+    return;
+  }
   const auto changes = answer.Status == 200 ? adapter::readChanges(answer.Body) : std::nullopt;
   if (!changes) {
     store::onCheckFailed(mirror);
@@ -187,11 +194,21 @@
     return;
   count(edge.Counters, "store_calls", "check");
   callPlatform(edge, adapter::checkCall(edge.Settings.Edge.StoreAddress, *check),
-               [&edge](const PlatformAnswer &answer) { onCheckAnswer(edge, answer); });
+               [&edge, era = edge.OperatorItems.Era](const PlatformAnswer &answer) {
+                 onCheckAnswer(edge, era, answer);
+               });
 }
 
 } // namespace
 
+void onStoreRestored(Edge &edge) {
+  const Now now = net::readNow();
+  for (store::Mirror *it : {&edge.OperatorItems, &edge.ServerItems, &edge.OwnItems}) {
+    restartWatch(edge, *it);
+    store::onRestored(*it, edge.StoreEra, now);
+  }
+}
+
 bool isWatcher(const Edge &edge) { return edge.Watchers.contains(edge.Settings.Node.Name); }
 
 void tickStore(Edge &edge) {
--- a/packages/daemon/edge/EdgeTest.cpp
+++ b/packages/daemon/edge/EdgeTest.cpp
@@ -249,6 +249,50 @@
   BOOST_TEST(f.Store.LostReads == 0U);
 }
 
+// Guards against a departure that is not seen after the store has come back from an older copy,
+// because its revisions are lower than that of the list in use.
+BOOST_AUTO_TEST_CASE(DepartureAfterARestoreIsSeenInTime) {
+  Fixture f;
+  const auto copy = f.Store.Items;
+  const std::uint64_t revision = f.Store.Revision;
+  f.Store.Revision += 1000;
+  f.announce(f.B, "ready");
+  BOOST_TEST(f.runUntil([&] { return f.Node->ServerItems.Revision > 1000; }, 2000ms));
+  f.Store.restore(copy, revision);
+  f.announce(f.A, "draining");
+  BOOST_TEST(f.runUntil([&] { return f.Node->Relay.Servers.Servers.at("a").Leaving; }, 2000ms));
+  BOOST_TEST(f.Node->StoreEra == 2U);
+}
+
+// Guards against a configuration that was written after the store came back from an older copy and
+// is never read, because its revision is lower than that of the watch.
+BOOST_AUTO_TEST_CASE(ConfigurationAfterARestoreComesIntoForce) {
+  Fixture f;
+  const auto copy = f.Store.Items;
+  const std::uint64_t revision = f.Store.Revision;
+  f.Store.Revision += 1000;
+  f.Store.put("op/config", configurationDocument(2));
+  BOOST_TEST(f.runUntil([&] { return f.Node->Relay.Config->Version == 2; }, 2000ms));
+  f.Store.restore(copy, revision);
+  f.Store.put("op/config", configurationDocument(3));
+  BOOST_TEST(f.runUntil([&] { return f.Node->Relay.Config->Version == 3; }, 2000ms));
+}
+
+// Guards against servers that are taken for gone because the copy from which the store came back
+// does not have them yet.
+BOOST_AUTO_TEST_CASE(ServersMissingInAnOlderCopyAreKept) {
+  Fixture f;
+  auto copy = f.Store.Items;
+  copy.erase("servers/a");
+  f.Store.restore(copy, 1);
+  BOOST_TEST(f.runUntil([&] { return f.Node->ServerItems.Era == 2; }, 2000ms));
+  f.runUntil([] { return false; }, 600ms);
+  f.announce(f.A, "ready");
+  BOOST_TEST(!f.Node->Relay.Servers.Servers.at("a").Leaving);
+  f.runUntil([] { return false; }, 3000ms);
+  BOOST_TEST(!f.Node->Relay.Servers.Servers.at("a").Leaving);
+}
+
 // Guards against a request that runs at a server which took over an address, and is not served.
 BOOST_AUTO_TEST_CASE(AddressOfAnotherServerIsNotUsed) {
   Fixture f;
--- a/packages/message/BackendListCopy.h
+++ b/packages/message/BackendListCopy.h
@@ -36,6 +36,8 @@
   /// Revision of the store when the list was read.
   std::uint64_t Revision = 0;
   std::vector<BackendCopy> Backends;
+  /// Era of the store when the list was read; see store::Position.
+  std::uint64_t Era = 0;
 };
 
 } // namespace chervil::message
--- a/packages/message/BackendListDelta.h
+++ b/packages/message/BackendListDelta.h
@@ -21,6 +21,8 @@
   std::vector<BackendCopy> Changed;
   /// Identifiers of the servers that were removed.
   std::vector<std::string> Removed;
+  /// Era of the store when the list was read; see store::Position.
+  std::uint64_t Era = 0;
 };
 
 } // namespace chervil::message
--- a/packages/message/BackendListRequest.h
+++ b/packages/message/BackendListRequest.h
@@ -10,6 +10,8 @@
 struct BackendListRequest {
   /// Revision of the list that the sender already has.
   std::uint64_t Revision = 0;
+  /// Era of that list; see store::Position.
+  std::uint64_t Era = 0;
 };
 
 } // namespace chervil::message
--- a/packages/relay/BackendListSync.cpp
+++ b/packages/relay/BackendListSync.cpp
@@ -46,7 +46,7 @@
 
 message::BackendListDelta diffLists(const BackendListSnapshot &before,
                                     const BackendListSnapshot &after, std::uint64_t revision) {
-  message::BackendListDelta diff{revision, listDigest(before), listDigest(after), {}, {}};
+  message::BackendListDelta diff{revision, listDigest(before), listDigest(after), {}, {}, 0};
   if (diff.Before == diff.After)
     return diff;
   std::map<std::string, std::uint64_t> old;
--- a/packages/store/Item.h
+++ b/packages/store/Item.h
@@ -2,6 +2,7 @@
 #ifndef CHERVIL_STORE_ITEM_H
 #define CHERVIL_STORE_ITEM_H
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -9,6 +10,15 @@
 
 namespace chervil::store {
 
+/// A point in the history of the store. Revisions increase within an era; a store that has come
+/// back from an older copy gives revisions out again in the next era. Eras start at 1.
+struct Position {
+  std::uint64_t Era = 0;
+  std::uint64_t Revision = 0;
+
+  auto operator<=>(const Position &) const = default; // NOLINT(modernize-use-nullptr)
+};
+
 /// A key with its value. Revisions are numbers of the store that increase with each change.
 struct Item {
   std::string Key;
--- a/packages/store/Mirror.cpp
+++ b/packages/store/Mirror.cpp
@@ -152,6 +152,17 @@
   resetRead(mirror);
 }
 
+void onRestored(Mirror &mirror, std::uint64_t era, const Now &now) {
+  if (era <= mirror.Era)
+    return;
+  const bool isFirst = mirror.Era == 0;
+  mirror.Era = era;
+  if (isFirst)
+    return;
+  mirror.ConnectedSince = mirror.NextCall = now.Steady;
+  resetRead(mirror);
+}
+
 void onInterrupted(Mirror &mirror, const Now &now) {
   mirror.CallPending = false;
   mirror.CallEnded = now.Steady;
--- a/packages/store/Mirror.h
+++ b/packages/store/Mirror.h
@@ -58,6 +58,8 @@
   std::map<std::string, Item> Items;
   /// Revision that Items reflect; 0 until they have been read once.
   std::uint64_t Revision = 0;
+  /// Era of the store when Items were read; see Position. 0 if unknown.
+  std::uint64_t Era = 0;
   /// Time of the last answer of the store, and the start of the present period of connection.
   std::optional<TimePoint> LastAnswer;
   TimePoint ConnectedSince{};
@@ -105,6 +107,11 @@
 void onHistoryLost(Mirror &mirror, const Now &now);
 /// The call failed. Items are kept; a read that was in progress starts again at the first page.
 void onCallFailed(Mirror &mirror, const Now &now, Random &rng);
+/// The store has come back from an older copy. All items are read again, and those that are missing
+/// are waited for as after an outage, because their owners write them again. The caller ignores the
+/// answer to a call that began before. Does nothing unless `era` is later than the current one, and
+/// only notes the first era that becomes known.
+void onRestored(Mirror &mirror, std::uint64_t era, const Now &now);
 /// This node cancelled the pending call; the next call is due immediately.
 void onInterrupted(Mirror &mirror, const Now &now);
 
--- a/packages/store/MirrorTest.cpp
+++ b/packages/store/MirrorTest.cpp
@@ -107,6 +107,46 @@
   BOOST_TEST(f.M.Items.size() == 1U);
 }
 
+// Guards against changes that are never reported because the store has come back from an older copy
+// and its revisions have passed that of the watch again.
+BOOST_AUTO_TEST_CASE(RestoredStoreIsReadAgain) {
+  Fixture f;
+  onRestored(f.M, 1, f.Time);
+  f.next();
+  onPage(f.M, {{item("p/a", 3), item("p/b", 9)}, false, 10}, f.Time);
+  f.next();
+  onInterrupted(f.M, f.Time);
+  const TimePoint before = f.Time.Steady;
+  onRestored(f.M, 2, f.Time);
+  BOOST_TEST((f.M.ConnectedSince == before));
+  BOOST_TEST(!nextCheck(f.M, 0ms, f.Time).has_value());
+  BOOST_TEST((f.next().Type == MirrorCall::Kind::ReadPage));
+  onPage(f.M, {{item("p/b", 4)}, false, 5}, f.Time);
+  BOOST_TEST(f.M.Items.size() == 1U);
+  BOOST_TEST(f.M.Items.at("p/b").Revision == 4U);
+  const MirrorCall watch = f.next();
+  BOOST_TEST((watch.Type == MirrorCall::Kind::Watch));
+  BOOST_TEST(watch.AfterRevision == 5U);
+  // The era is known already.
+  onRestored(f.M, 2, f.Time);
+  BOOST_TEST(f.M.Watching);
+}
+
+// Guards against a reading whose first pages are from before the return and whose last are from
+// after it.
+BOOST_AUTO_TEST_CASE(ReadingAcrossARestoreStartsAgain) {
+  Fixture f;
+  onRestored(f.M, 1, f.Time);
+  f.next();
+  onPage(f.M, {{item("p/a", 8)}, true, 10}, f.Time);
+  f.next();
+  onRestored(f.M, 2, f.Time);
+  onInterrupted(f.M, f.Time);
+  BOOST_TEST(f.next().AfterKey.empty());
+  onPage(f.M, {{item("p/b", 2)}, false, 3}, f.Time);
+  BOOST_TEST(f.M.Items.size() == 1U);
+}
+
 // Guards against losing the items after a failed call, and against retries without a delay.
 BOOST_AUTO_TEST_CASE(FailureKeepsItemsAndDelaysRetry) {
   Fixture f;
--- a/packages/wire/detail/Fields.h
+++ b/packages/wire/detail/Fields.h
@@ -140,14 +140,14 @@
 }
 template <MaybeConst<message::UsageReport> M> auto fields(M &m) { return std::tie(m.Counts); }
 template <MaybeConst<message::BackendListRequest> M> auto fields(M &m) {
-  return std::tie(m.Revision);
+  return std::tie(m.Revision, m.Era);
 }
 template <MaybeConst<message::BackendCopy> M> auto fields(M &m) {
   return std::tie(m.Id, m.Service, m.Address, m.DataCentre, m.Slots, m.Draining, m.Reclaimable,
                   m.Leaves, m.Born, m.Leaving);
 }
 template <MaybeConst<message::BackendListCopy> M> auto fields(M &m) {
-  return std::tie(m.Revision, m.Backends);
+  return std::tie(m.Revision, m.Backends, m.Era);
 }
 template <MaybeConst<message::BackendLoad> M> auto fields(M &m) {
   return std::tie(m.Backend, m.PendingTokens, m.Running);
@@ -183,7 +183,7 @@
   return std::tie(m.Version, m.Age);
 }
 template <MaybeConst<message::BackendListDelta> M> auto fields(M &m) {
-  return std::tie(m.Revision, m.Before, m.After, m.Changed, m.Removed);
+  return std::tie(m.Revision, m.Before, m.After, m.Changed, m.Removed, m.Era);
 }
 template <MaybeConst<message::BackendPromptParts> M> auto fields(M &m) {
   return std::tie(m.Backend, m.Parts);
