duty: one holder and one report per window after the store comes back from an older copy

Cause: the token was a revision, which the store gives out again; a node went on with a lease that the store may have forgotten or given to another; the record of the last reported window came back older than the reports.

Change: the token is made of era and revision. After a return the duty is not held until the holder's key has been read with this node's value and lease. A record names its era; a holder that goes on keeps its own, another one that reads a record of an earlier era skips the windows that may have been reported.

Ruled out: a copy of the record on other nodes (a node that was cut off would report a window with other counts).

--- a/packages/daemon/edge/EdgeDuty.cpp
+++ b/packages/daemon/edge/EdgeDuty.cpp
@@ -102,8 +102,11 @@
     return;
   count(edge.Counters, "store_calls", "lease");
   callPlatform(edge, leaseCall(edge, *next),
-               [&edge, what = next->Type](const PlatformAnswer &answer) {
-                 onLeaseResult(edge, what, answer.Status, answer.Body);
+               [&edge, what = next->Type, era = edge.StoreEra](const PlatformAnswer &answer) {
+                 if (isSameEra(edge.StoreEra, era))
+                   onLeaseResult(edge, what, answer.Status, answer.Body);
+                 else
+                   duty::onCallFailed(edge.Lease, net::readNow());
                  tickDuty(edge);
                });
 }
--- a/packages/daemon/edge/EdgeStore.cpp
+++ b/packages/daemon/edge/EdgeStore.cpp
@@ -207,6 +207,8 @@
     restartWatch(edge, *it);
     store::onRestored(*it, edge.StoreEra, now);
   }
+  duty::onStoreRestored(edge.Lease, edge.StoreEra);
+  duty::onStoreRestored(edge.Posting, edge.StoreEra, duty::filteredTime(edge.Clock, now));
 }
 
 bool isWatcher(const Edge &edge) { return edge.Watchers.contains(edge.Settings.Node.Name); }
--- a/packages/daemon/edge/EdgeUsage.cpp
+++ b/packages/daemon/edge/EdgeUsage.cpp
@@ -17,19 +17,22 @@
 
 void readRecord(Edge &edge) {
   edge.Posting.StepPending = true;
-  callPlatform(
-      edge, adapter::itemCall(edge.Settings.Edge.StoreAddress, RecordKey),
-      [&edge](const PlatformAnswer &answer) {
-        edge.Posting.StepPending = false;
-        if (answer.Status == adapter::NotFoundStatus) {
-          duty::onRecordRead(edge.Posting, std::nullopt, 0);
-          return;
-        }
-        const auto item = answer.Status == 200 ? adapter::readItem(answer.Body) : std::nullopt;
-        if (!item)
-          return;
-        duty::onRecordRead(edge.Posting, adapter::decodeRecord(item->Value), item->Revision);
-      });
+  callPlatform(edge, adapter::itemCall(edge.Settings.Edge.StoreAddress, RecordKey),
+               [&edge, era = edge.StoreEra](const PlatformAnswer &answer) {
+                 edge.Posting.StepPending = false;
+                 if (!isSameEra(edge.StoreEra, era))
+                   return;
+                 if (answer.Status == adapter::NotFoundStatus) {
+                   duty::onRecordRead(edge.Posting, edge.Usage, std::nullopt, 0);
+                   return;
+                 }
+                 const auto item =
+                     answer.Status == 200 ? adapter::readItem(answer.Body) : std::nullopt;
+                 if (!item)
+                   return;
+                 duty::onRecordRead(edge.Posting, edge.Usage, adapter::decodeRecord(item->Value),
+                                    item->Revision);
+               });
 }
 
 void readBook(Edge &edge) {
@@ -59,7 +62,7 @@
     return;
   edge.BookBusy = true;
   adapter::ConditionalWrite write;
-  write.Conditions = {{HolderKey, edge.Lease.FencingToken}};
+  write.Conditions = {{HolderKey, edge.Lease.KeyRevision}};
   write.Key = BookKey;
   write.Value = adapter::encodeReport(report);
   callPlatform(edge, adapter::writeCall(edge.Settings.Edge.StoreAddress, write),
@@ -96,13 +99,14 @@
 
 void record(Edge &edge, const duty::UsageStep &step) {
   adapter::ConditionalWrite write;
-  write.Conditions = {{HolderKey, edge.Lease.FencingToken}, {RecordKey, step.ExpectedRevision}};
+  write.Conditions = {{HolderKey, edge.Lease.KeyRevision}, {RecordKey, step.ExpectedRevision}};
   write.Key = RecordKey;
-  write.Value = adapter::encodeRecord({step.Window, step.Counts});
+  write.Value = adapter::encodeRecord({step.Window, step.Counts, edge.StoreEra});
   callPlatform(edge, adapter::writeCall(edge.Settings.Edge.StoreAddress, write),
-               [&edge, step](const PlatformAnswer &answer) {
-                 const auto revision =
-                     answer.Status == 200 ? adapter::readRevision(answer.Body) : std::nullopt;
+               [&edge, step, era = edge.StoreEra](const PlatformAnswer &answer) {
+                 const auto revision = answer.Status == 200 && isSameEra(edge.StoreEra, era)
+                                           ? adapter::readRevision(answer.Body)
+                                           : std::nullopt;
                  if (revision)
                    duty::onRecorded(edge.Posting, step, *revision);
                  else
@@ -122,7 +126,7 @@
     logLine(edge, "duty", held ? "taken" : "ended",
             {{"token", std::to_string(edge.Lease.FencingToken)}});
     if (held)
-      duty::onDutyTaken(edge.Posting, edge.Usage, wall);
+      duty::onDutyTaken(edge.Posting, edge.Usage, edge.Lease.FencingToken, wall);
     edge.BookKnown = false;
   }
   if (!held)
--- a/packages/duty/Lease.cpp
+++ b/packages/duty/Lease.cpp
@@ -13,7 +13,14 @@
 
 void clearLease(Lease &lease) {
   lease.LeaseId = 0;
+  lease.KeyRevision = 0;
   lease.FencingToken = 0;
+  lease.IsUnverified = false;
+}
+
+void setHeld(Lease &lease, std::uint64_t keyRevision) {
+  lease.KeyRevision = keyRevision;
+  lease.FencingToken = fencingToken({lease.Era, keyRevision});
 }
 
 std::optional<LeaseCall> beginCall(Lease &lease, LeaseCall::Kind what, const Now &now) {
@@ -24,6 +31,12 @@
 
 } // namespace
 
+std::uint64_t fencingToken(const store::Position &created) {
+  // A revision has less than 40 bits and an era at most 12, so that the token is exact in a double.
+  constexpr unsigned revisionBits = 40;
+  return (created.Era << revisionBits) + created.Revision;
+}
+
 std::optional<LeaseCall> nextCall(Lease &lease, const store::Item *holder, bool mayClaim,
                                   const Now &now) {
   if (lease.PendingCall)
@@ -31,6 +44,11 @@
   // A lease that was not confirmed for its whole lifetime has expired.
   if (lease.LeaseId != 0 && now.Steady - lease.ConfirmedAt >= lease.Options.Ttl)
     clearLease(lease);
+  // The lease of another node must be neither renewed nor revoked.
+  if (lease.IsUnverified && lease.Resigning)
+    clearLease(lease);
+  if (lease.IsUnverified)
+    return std::nullopt;
   if (lease.Resigning) {
     if (lease.LeaseId == 0)
       return std::nullopt;
@@ -55,7 +73,7 @@
 
 void onClaimed(Lease &lease, std::uint64_t revision, const Now &now) {
   lease.PendingCall.reset();
-  lease.FencingToken = revision;
+  setHeld(lease, revision);
   lease.NextCall = now.Steady + lease.Options.RenewPeriod;
 }
 
@@ -87,22 +105,33 @@
   lease.NextCall = now.Steady + (wasClaim ? UnknownClaimDelay : RetryDelay);
 }
 
+void onStoreRestored(Lease &lease, std::uint64_t era) {
+  if (era <= lease.Era)
+    return;
+  lease.IsUnverified = lease.Era != 0 && lease.LeaseId != 0;
+  lease.Era = era;
+}
+
 void onHolderRead(Lease &lease, const store::Item *holder, const Now &now) {
   if (lease.LeaseId == 0)
     return;
   const bool isOwn =
       holder != nullptr && holder->Lease == lease.LeaseId && holder->Value == lease.Options.Value;
+  if (lease.IsUnverified && !isOwn) {
+    clearLease(lease);
+    return;
+  }
+  lease.IsUnverified = false;
   if (isOwn && lease.FencingToken == 0 && !lease.PendingCall) {
-    lease.FencingToken = holder->Created;
+    setHeld(lease, holder->Created);
     lease.NextCall = now.Steady;
   }
-  if (!isOwn && holder != nullptr && lease.FencingToken != 0 &&
-      holder->Created > lease.FencingToken)
+  if (!isOwn && holder != nullptr && lease.FencingToken != 0 && holder->Created > lease.KeyRevision)
     clearLease(lease);
 }
 
 bool isHeld(const Lease &lease, const Now &now) {
-  return lease.FencingToken != 0 && !lease.Resigning &&
+  return lease.FencingToken != 0 && !lease.IsUnverified && !lease.Resigning &&
          now.Steady - lease.ConfirmedAt < lease.Options.Ttl - lease.Options.Margin;
 }
 
--- a/packages/duty/Lease.h
+++ b/packages/duty/Lease.h
@@ -52,9 +52,15 @@
   LeaseOptions Options;
   /// 0 if this node has no lease.
   std::uint64_t LeaseId = 0;
-  /// Revision at which the store created the key of this node. It increases with each holder. 0 if
-  /// the duty is not held.
+  /// Revision at which the store created the key of this node; 0 if the duty is not held.
+  std::uint64_t KeyRevision = 0;
+  /// See fencingToken(); 0 if the duty is not held.
   std::uint64_t FencingToken = 0;
+  /// Era of the store; see store::Position.
+  std::uint64_t Era = 0;
+  /// The store has come back from an older copy since the key was last read or written. The lease
+  /// may be gone, and its number may have been given to another node.
+  bool IsUnverified = false;
   /// Send time of the last creation or renewal that the store confirmed. The lease lasts at least
   /// until Ttl after it.
   TimePoint ConfirmedAt{};
@@ -67,6 +73,10 @@
   bool Resigning = false;
 };
 
+/// Returns the fencing token of the holder whose key was created at this position. It increases
+/// with each holder, also when the store gives revisions out again.
+std::uint64_t fencingToken(const store::Position &created);
+
 /// Returns the next call if one is due; it is pending until one of the functions below is called.
 /// `holder` is the key as last read, nullptr if it does not exist. `mayClaim` is true if this node
 /// may claim a duty without a holder now.
@@ -85,8 +95,13 @@
 /// There was no answer, or one that leaves the outcome unknown.
 void onCallFailed(Lease &lease, const Now &now);
 
-/// Applies the key as read from the store, nullptr if it does not exist. Determines the outcome of
-/// a claim whose answer was lost.
+/// The store has come back from an older copy: the duty is not held until the key has been read
+/// again. Does nothing unless `era` is later than the current one.
+void onStoreRestored(Lease &lease, std::uint64_t era);
+
+/// Applies the key as read from the store in the current era, nullptr if it does not exist.
+/// Determines the outcome of a claim whose answer was lost, and whether the lease still exists
+/// after the store has come back from an older copy.
 void onHolderRead(Lease &lease, const store::Item *holder, const Now &now);
 
 /// True if this node may act as the holder, because no other node can hold the duty now.
--- a/packages/duty/LeaseTest.cpp
+++ b/packages/duty/LeaseTest.cpp
@@ -129,6 +129,91 @@
   }));
 }
 
+// Guards against two holders, or a fencing token that is given out again, after the store has come
+// back from an older copy in which leases, keys and revisions are those of some seconds ago.
+BOOST_AUTO_TEST_CASE(RestoredStoreHasOneHolderAndNewTokens) {
+  BOOST_TEST(rc::check([] {
+    Random rng(*rc::gen::arbitrary<std::uint64_t>());
+    const auto draw = [&](int n) { return std::uniform_int_distribution(0, n - 1)(rng); };
+    FakeStore s;
+    std::uint64_t era = 1;
+    std::vector<FakeStore> copies;
+    std::vector<Node> nodes(3);
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+      nodes[i].L.Era = era;
+      nodes[i].L.Options.Value = "n" + std::to_string(i);
+    }
+    Now now{TimePoint(1000s), WallTime(0s)};
+    std::uint64_t highest = 0;
+    std::map<std::uint64_t, std::size_t> tokens;
+    std::size_t held = 0;
+    for (int step = 0; step < 600; ++step) {
+      now.Steady += 100ms;
+      s.expire(now.Steady);
+      copies.push_back(s);
+      if (draw(80) == 0) {
+        const std::size_t age = static_cast<std::size_t>(draw(90)) + 1;
+        s = copies[copies.size() - std::min(age, copies.size())];
+        // Leases run on from the return.
+        for (auto &[id, until] : s.Leases)
+          until = now.Steady + 3s;
+        ++era;
+        // The store was away for longer than leases last without a confirmation.
+        now.Steady += 3s;
+        for (Node &n : nodes)
+          onStoreRestored(n.L, era);
+      }
+      std::size_t holders = 0;
+      for (std::size_t i = 0; i < nodes.size(); ++i) {
+        Node &n = nodes[i];
+        if (isHeld(n.L, now)) {
+          ++holders;
+          ++held;
+          RC_ASSERT(n.L.FencingToken >= highest);
+          highest = n.L.FencingToken;
+          RC_ASSERT(tokens.emplace(n.L.FencingToken, i).first->second == i);
+        }
+        const store::Item *seen = s.Key ? &*s.Key : nullptr;
+        onHolderRead(n.L, seen, now);
+        if (draw(200) == 0) {
+          // The node starts anew, and its value tells the starts apart.
+          n.L = {};
+          n.L.Era = era;
+          n.L.Options.Value = "n" + std::to_string(i) + "/" + std::to_string(step);
+        }
+        n.L.Resigning = n.L.Resigning || draw(200) == 0;
+        if (const auto call = nextCall(n.L, seen, true, now))
+          serve(s, n, *call, now, draw(10) == 0);
+      }
+      RC_ASSERT(holders <= 1U);
+    }
+    RC_ASSERT(held > 100U);
+  }));
+}
+
+// Guards against a node that acts as holder after the store has forgotten it, or that gives up the
+// duty although the copy still has its key.
+BOOST_AUTO_TEST_CASE(LeaseIsVerifiedAfterARestore) {
+  for (const bool isKept : {true, false}) {
+    FakeStore s;
+    Node n;
+    n.L.Era = 1;
+    n.L.Options.Value = "n";
+    Now now{TimePoint(1000s), WallTime(0s)};
+    for (int i = 0; i < 3; ++i)
+      if (const auto call = nextCall(n.L, s.Key ? &*s.Key : nullptr, true, now))
+        serve(s, n, *call, now, false);
+    BOOST_TEST(isHeld(n.L, now));
+    const std::uint64_t token = n.L.FencingToken;
+    onStoreRestored(n.L, 2);
+    BOOST_TEST(!isHeld(n.L, now));
+    BOOST_TEST(!nextCall(n.L, &*s.Key, true, now).has_value());
+    onHolderRead(n.L, isKept ? &*s.Key : nullptr, now);
+    BOOST_TEST(isHeld(n.L, now) == isKept);
+    BOOST_TEST(n.L.FencingToken == (isKept ? token : 0));
+  }
+}
+
 // Guards against a duty that stays unavailable after its holder was shut down in order.
 BOOST_AUTO_TEST_CASE(ResigningFreesTheDuty) {
   FakeStore s;
--- a/packages/duty/UsagePosting.cpp
+++ b/packages/duty/UsagePosting.cpp
@@ -4,22 +4,53 @@
 
 namespace chervil::duty {
 
-void onDutyTaken(UsagePosting &posting, const UsageCounters &counters, WallTime now) {
+namespace {
+
+/// First window that could not be posted before `at`.
+std::uint64_t firstWindowAfter(const UsagePosting &posting, const UsageCounters &counters,
+                               WallTime at) {
+  return windowAt(counters, at - posting.Delay);
+}
+
+} // namespace
+
+void onDutyTaken(UsagePosting &posting, const UsageCounters &counters, std::uint64_t token,
+                 WallTime now) {
   const std::uint64_t present = windowAt(counters, now);
-  posting.FirstWindow = present > RetainedWindows / 2 ? present - RetainedWindows / 2 : 0;
+  const std::uint64_t first = present > RetainedWindows / 2 ? present - RetainedWindows / 2 : 0;
   posting.DutyTakenAt = now;
+  posting.FirstWindow = token == posting.Token ? std::max(first, posting.FirstWindow) : first;
+  posting.Token = token;
   posting.Posted = false;
   posting.StepPending = false;
   posting.RecordKnown = false;
 }
 
-void onRecordRead(UsagePosting &posting, std::optional<UsageRecord> record,
-                  std::uint64_t revision) {
+void onStoreRestored(UsagePosting &posting, std::uint64_t era, WallTime now) {
+  if (era <= posting.Era)
+    return;
+  posting.RecordKnown = posting.RecordKnown && posting.Era == 0;
+  posting.Era = era;
+  posting.EraSince = now;
+}
+
+void onRecordRead(UsagePosting &posting, const UsageCounters &counters,
+                  std::optional<UsageRecord> record, std::uint64_t revision) {
   if (posting.RecordKnown && revision <= posting.RecordRevision)
     return;
-  posting.Record = std::move(record);
   posting.RecordRevision = revision;
   posting.RecordKnown = true;
+  const std::uint64_t known = record ? record->Window : 0;
+  const bool isOwn = posting.RecordToken == posting.Token;
+  if (isOwn && posting.Record && posting.Record->Window > known)
+    return;
+  posting.RecordToken = posting.Token;
+  const bool mayLackRecords = posting.Era > 0 && (!record || record->Era < posting.Era);
+  if (mayLackRecords && !isOwn)
+    posting.FirstWindow =
+        std::max(posting.FirstWindow,
+                 firstWindowAfter(posting, counters, posting.EraSince + MaxClockDifference));
+  posting.Record = std::move(record);
   posting.Posted = false;
 }
 
@@ -44,7 +75,8 @@
 
 void onRecorded(UsagePosting &posting, const UsageStep &step, std::uint64_t revision) {
   posting.StepPending = false;
-  posting.Record = UsageRecord{step.Window, step.Counts};
+  posting.Record = UsageRecord{step.Window, step.Counts, posting.Era};
+  posting.RecordToken = posting.Token;
   posting.RecordRevision = revision;
   posting.Posted = false;
 }
--- a/packages/duty/UsagePosting.h
+++ b/packages/duty/UsagePosting.h
@@ -19,6 +19,8 @@
 struct UsageRecord {
   std::uint64_t Window = 0;
   duty::RequestCounts Counts;
+  /// Era of the store when the record was written; see store::Position.
+  std::uint64_t Era = 0;
 };
 
 /// A step of the posting: write the record to the store or post it to the platform.
@@ -46,6 +48,13 @@
   WallTime DutyTakenAt{};
   /// First window that this holder may record.
   std::uint64_t FirstWindow = 0;
+  /// Fencing token of the current or last time that this node held the duty, and that under which
+  /// Record was read or written. If they are equal, no other node has posted since.
+  std::uint64_t Token = 0;
+  std::uint64_t RecordToken = 0;
+  /// Era of the store, and when this node learned of it.
+  std::uint64_t Era = 0;
+  WallTime EraSince{};
   /// A step or a read of the record is in progress.
   bool StepPending = false;
 };
@@ -53,12 +62,22 @@
 /// Time allowed for reports of other nodes after this node took the duty.
 inline constexpr std::chrono::milliseconds TakeoverReportTime{1500};
 
+/// By how much the clocks of two holders may differ.
+inline constexpr std::chrono::milliseconds MaxClockDifference{1000};
+
 /// Resets the state when this node takes the duty at `now`.
-void onDutyTaken(UsagePosting &posting, const UsageCounters &counters, WallTime now);
+void onDutyTaken(UsagePosting &posting, const UsageCounters &counters, std::uint64_t token,
+                 WallTime now);
+
+/// The store has come back from an older copy, which may lack the latest records. Does nothing
+/// unless `era` is later than the current one.
+void onStoreRestored(UsagePosting &posting, std::uint64_t era, WallTime now);
 
 /// Applies the record as read from the store; absent if there is none. An older revision than the
-/// known one is ignored.
-void onRecordRead(UsagePosting &posting, std::optional<UsageRecord> record, std::uint64_t revision);
+/// known one is ignored. If the store may have lost later records, a holder that continues keeps
+/// the one that it has written, and another one skips the windows that may have been posted.
+void onRecordRead(UsagePosting &posting, const UsageCounters &counters,
+                  std::optional<UsageRecord> record, std::uint64_t revision);
 
 /// Returns the next step if one is due; it is pending until one of the functions below is called.
 std::optional<UsageStep> nextStep(UsagePosting &posting, const UsageCounters &counters,
