--- a/tools/lib/soak/server.py
+++ b/tools/lib/soak/server.py
@@ -93,7 +93,8 @@
 
     async def _handle(self, request, reader, writer):
         if request.fields.get("expect-instance") != self.id:
-            writer.write(wire.response(421, {"Not-Executed": "1"}))
+            attempt = request.fields.get("attempt-id", "")
+            writer.write(wire.response(421, {"Not-Executed": "1", "Attempt-Id": attempt}))
             await writer.drain()
             return True
         run = self.world.ledger.arrived(request, self)
