relay: a stream that ends within an event is cut off, also if it is framed as whole

A server that stops within an event and frames the end properly passed for complete, with half an event forwarded; only an end by closing was checked.

Shown: FramedEndWithinAnEventIsNoEnd, five checks, failed before. Resumable streams go on at another server, others are aborted.

Looked for and not found: the error of the next server in the middle of a stream (ErrorOfTheNextServerStaysOutOfTheStream: six kinds of answers), and an answer whose head is cut (CutAnswersAreBroken has four more cuts); both pass without a change.

--- a/packages/http/ClientTest.cpp
+++ b/packages/http/ClientTest.cpp
@@ -106,7 +106,10 @@
 
 // Guards against an answer that was cut off and is reported as whole.
 BOOST_AUTO_TEST_CASE(CutAnswersAreBroken) {
-  for (const char *text : {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", "HTTP/1.1 20", ""}) {
+  for (const char *text : {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", "HTTP/1.1 20", "",
+                           "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n",
+                           "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Le",
+                           "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n\r"}) {
     Fixture f;
     f.call();
     const int fd = f.take();
--- a/packages/relay/BackendEvents.cpp
+++ b/packages/relay/BackendEvents.cpp
@@ -217,15 +217,15 @@
   Context ctx{state, out, now, rng};
   switch (end) {
   case BackendEnd::Complete:
-    onCompleteAnswer(ctx, *request);
-    return;
-  case BackendEnd::Closed:
+  case BackendEnd::Closed: {
     // A server that dies closes its connections too. Half an event, or no body at all, shows it.
-    if (!request->GotFirstByte || (isStreamed(*request) && !request->Progress.AtBoundary))
+    const bool lacksBody = end == BackendEnd::Closed && !request->GotFirstByte;
+    if (lacksBody || (isStreamed(*request) && !request->Progress.AtBoundary))
       onBroken(ctx, *request);
     else
       onCompleteAnswer(ctx, *request);
     return;
+  }
   case BackendEnd::Excessive:
     onExcess(ctx, *request);
     return;
--- a/packages/relay/TroubledServersTest.cpp
+++ b/packages/relay/TroubledServersTest.cpp
@@ -115,6 +115,54 @@
   }
 }
 
+// Guards against a stream that ends within an event, framed as whole, and passes for complete.
+BOOST_AUTO_TEST_CASE(FramedEndWithinAnEventIsNoEnd) {
+  Fixture f;
+  f.request("/once/x");
+  f.head(f.call().Call, 200);
+  f.bytes(f.call().Call, "id: 1\ndata: a\n\nid: 2\nda");
+  f.end(f.call().Call, BackendEnd::Complete);
+  BOOST_TEST(f.all<EndStream>().empty());
+  BOOST_TEST(f.all<AbortStream>().size() == 1U);
+  Fixture g;
+  g.request("/resumed/x");
+  const CallBackend first = g.call();
+  g.head(first.Call, 200);
+  g.bytes(first.Call, "id: 1\ndata: a\n\nid: 2\nda");
+  g.end(first.Call, BackendEnd::Complete);
+  BOOST_TEST(g.all<EndStream>().empty());
+  BOOST_TEST(g.call().Call != first.Call);
+  BOOST_TEST(g.call().ResumeAfter == "1");
+}
+
+// Guards against the error of the next server, or an end, in the middle of a stream that broke off.
+BOOST_AUTO_TEST_CASE(ErrorOfTheNextServerStaysOutOfTheStream) {
+  struct Case {
+    int Status;
+    bool IsGenuine;
+    bool NotRun;
+  };
+  for (const Case &it : {Case{500, true, false}, Case{404, true, false}, Case{503, true, false},
+                         Case{503, true, true}, Case{400, true, true}, Case{200, false, false}}) {
+    Fixture f;
+    f.request("/resumed/x");
+    const CallBackend first = f.call();
+    f.head(first.Call, 200);
+    f.bytes(first.Call, "id: 1\ndata: a\n\n");
+    f.end(first.Call, BackendEnd::Broken);
+    f.Out.clear();
+    f.S.Settings.RetrySlack = 0;
+    const CallId second = first.Call + 1;
+    BOOST_REQUIRE(f.S.Calls.contains(second));
+    f.head(second, it.Status, it.IsGenuine, it.NotRun);
+    f.bytes(second, "HTTP/1.1 500 error\r\n\r\ntext");
+    f.end(second, BackendEnd::Complete);
+    BOOST_TEST(f.all<StreamBytes>().empty(), it.Status);
+    BOOST_TEST(f.all<EndStream>().empty(), it.Status);
+    BOOST_TEST(f.all<AbortStream>().size() + f.all<CallBackend>().size() == 1U, it.Status);
+  }
+}
+
 // Guards against a server that dies after the head of an answer without a length, and whose close
 // passes for an empty but complete answer.
 BOOST_AUTO_TEST_CASE(CloseWithoutABodyIsNoAnswer) {
