relay, platform: a server that says in an answer that it is leaving gets nothing new

Nothing read this statement: a server that leaves while the store is away, or that the list does not show yet, went on getting requests.

Another start of the server is not concerned.

--- a/packages/relay/BackendEvents.cpp
+++ b/packages/relay/BackendEvents.cpp
@@ -66,6 +66,19 @@
     detail::refuse(ctx, request, why, 0ms);
 }
 
+/// Handles an answer whose server says that it is leaving.
+void onLeavingStated(Context &ctx, const ActiveRequest &request) {
+  const Backend *server = find(ctx.S.Servers, request.Backend);
+  if (server == nullptr)
+    return;
+  const LeavingServer leaving{request.Backend, server->Entry.Born};
+  if (!markLeaving(ctx.S.Servers, leaving, ctx.Time))
+    return;
+  ctx.Out.push_back(
+      LogRecord{"backend_leaving", "", {{"backend", leaving.Id}, {"source", "answer"}}});
+  ctx.Out.push_back(Gossip{message::BackendStatus{leaving.Id, 0, 1, true, leaving.Born}});
+}
+
 /// Collects bytes of an answer. Returns false if there are too many.
 bool collect(State &state, ActiveRequest &request, std::string_view bytes) {
   const std::size_t size = request.Body.size() + bytes.size();
@@ -173,6 +186,8 @@
     return;
   Context ctx{state, out, now, rng};
   detail::onLimitStated(ctx, *request, head.Limit);
+  if (head.Leaving)
+    onLeavingStated(ctx, *request);
   if (head.NotRun || head.WrongServer) {
     if (head.Status == 400 && head.IsGenuine) {
       request->Status = head.Status;
--- a/packages/relay/BackendHead.h
+++ b/packages/relay/BackendHead.h
@@ -18,6 +18,8 @@
   /// The address now belongs to another server.
   bool WrongServer = false;
   StatedLimit Limit;
+  /// The server says that it is leaving.
+  bool Leaving = false;
 };
 
 /// How a call to a backend server ended.
--- a/packages/relay/RelayTest.cpp
+++ b/packages/relay/RelayTest.cpp
@@ -54,6 +54,33 @@
   BOOST_TEST(f.all<ForwardAnswer>().size() == 1U);
 }
 
+// Guards against new work for a server that says in an answer that it is leaving, while the list
+// does not show it, and against peers that do not learn of it.
+BOOST_AUTO_TEST_CASE(ServerThatSaysItLeavesGetsNothingNew) {
+  Fixture f(2);
+  f.request("/safe/x");
+  const CallBackend first = f.call();
+  onBackendHead(f.S, first.Call, {.Status = 200, .IsGenuine = true, .Leaving = true}, f.Out, f.Time,
+                f.Rng);
+  f.bytes(first.Call, "x");
+  f.end(first.Call, BackendEnd::Complete);
+  BOOST_TEST(f.all<ForwardAnswer>().size() == 1U);
+  BOOST_TEST(f.all<Gossip>().size() == 1U);
+  std::vector<BackendEntry> list;
+  for (const auto &[id, it] : f.S.Servers.Servers)
+    list.push_back(it.Entry);
+  onBackendList(f.S, list, false, f.Out, f.Time);
+  for (int i = 0; i < 10; ++i) {
+    f.request("/safe/x");
+    BOOST_TEST(f.call().Backend != first.Backend);
+  }
+  // Another start of the server is not concerned.
+  for (BackendEntry &it : list)
+    ++it.Born;
+  onBackendList(f.S, list, false, f.Out, f.Time);
+  BOOST_TEST(!f.S.Servers.Servers.at(first.Backend).Leaving);
+}
+
 // Guards against telling the caller that a request did not run when it may have.
 BOOST_AUTO_TEST_CASE(NotRunIsClaimedOnlyWhenTrue) {
   Fixture f(1);
