relay, platform: a server that asks for no requests for a time gets none

A server that turned a request away with 503 and Retry-After was avoided for 0.3 s, whatever time it asked for.

The node sends nothing to that start of the server until then, for first sends, retries and continued streams alike; peers are not told, since the server spoke to this node. If all servers of a service ask for longer than a request may wait, it is refused at once with the time until the first of them, spread over a second.

--- a/packages/relay/BackendEvents.cpp
+++ b/packages/relay/BackendEvents.cpp
@@ -79,6 +79,13 @@
   ctx.Out.push_back(Gossip{message::BackendStatus{leaving.Id, 0, 1, true, leaving.Born}});
 }
 
+/// Handles an answer whose server wants no requests from this node for a time.
+void onPauseStated(Context &ctx, const ActiveRequest &request, std::chrono::milliseconds time) {
+  ctx.Out.push_back(IncrementCounter{"backend_notice", "nothing_for"});
+  if (pauseServer(ctx.S.Servers, request.Backend, time, ctx.Time))
+    detail::logRequest(ctx, request, "backend_pause", {{"time_ms", std::to_string(time.count())}});
+}
+
 /// Collects bytes of an answer. Returns false if there are too many.
 bool collect(State &state, ActiveRequest &request, std::string_view bytes) {
   const std::size_t size = request.Body.size() + bytes.size();
@@ -188,6 +195,8 @@
   detail::onLimitStated(ctx, *request, head.Limit);
   if (head.Leaving)
     onLeavingStated(ctx, *request);
+  if (head.NothingFor > 0ms)
+    onPauseStated(ctx, *request, head.NothingFor);
   if (head.NotRun || head.WrongServer) {
     if (head.Status == 400 && head.IsGenuine) {
       request->Status = head.Status;
--- a/packages/relay/BackendHead.h
+++ b/packages/relay/BackendHead.h
@@ -4,6 +4,7 @@
 
 #include "relay/RequestLimit.h"
 
+#include <chrono>
 #include <cstdint>
 
 namespace chervil::relay {
@@ -20,6 +21,8 @@
   StatedLimit Limit;
   /// The server says that it is leaving.
   bool Leaving = false;
+  /// How long the server wants no requests from this node; 0 if it does not say so.
+  std::chrono::milliseconds NothingFor{0};
 };
 
 /// How a call to a backend server ended.
--- a/packages/relay/Backends.cpp
+++ b/packages/relay/Backends.cpp
@@ -59,8 +59,8 @@
 bool isEligible(const SelectionCriteria &criteria, const Backend &it, const Now &now) {
   const std::string &id = it.Entry.Id;
   return !it.Leaving && it.Entry.Service == criteria.Service && !isExcluded(criteria, id) &&
-         (criteria.Only.empty() || criteria.Only == id) && hasFreeCapacity(criteria, it) &&
-         passesLimit(criteria, it, now);
+         now.Steady >= it.NothingUntil && (criteria.Only.empty() || criteria.Only == id) &&
+         hasFreeCapacity(criteria, it) && passesLimit(criteria, it, now);
 }
 
 std::vector<const Backend *> eligibleServers(const Backends &backends,
@@ -291,6 +291,28 @@
   });
 }
 
+bool pauseServer(Backends &backends, const std::string &id, Duration time, const Now &now) {
+  Backend *it = find(backends, id);
+  if (it == nullptr)
+    return false;
+  const bool isNew = it->NothingUntil <= now.Steady;
+  it->NothingUntil = std::max(it->NothingUntil, now.Steady + time);
+  return isNew;
+}
+
+std::optional<TimePoint> endOfPause(const Backends &backends, std::string_view service,
+                                    const Now &now) {
+  std::optional<TimePoint> first;
+  for (const auto &[id, it] : backends.Servers) {
+    if (it.Leaving || it.Entry.Service != service)
+      continue;
+    if (it.NothingUntil <= now.Steady)
+      return std::nullopt;
+    first = std::min(first.value_or(it.NothingUntil), it.NothingUntil);
+  }
+  return first;
+}
+
 bool hasActiveServer(const Backends &backends, std::string_view service) {
   return std::ranges::any_of(backends.Servers, [&](const auto &it) {
     return !it.second.Leaving && it.second.Entry.Service == service;
--- a/packages/relay/Backends.h
+++ b/packages/relay/Backends.h
@@ -43,6 +43,8 @@
   unsigned ConsecutiveFailures = 0;
   /// Until this time it gets new requests only if no other server is eligible.
   TimePoint AvoidUntil{};
+  /// It has asked this node to send nothing before this time.
+  TimePoint NothingUntil{};
   /// Empty if no statement about its limit is known.
   std::optional<RequestLimit> Limit;
   /// A claim to send a request to it is not answered yet. Only for servers with a limit.
@@ -135,6 +137,15 @@
 /// Returns true if only its limit keeps a server from being chosen.
 bool hasServerBehindLimit(const Backends &backends, SelectionCriteria criteria, const Now &now);
 
+/// Notes that a server wants no requests from this node for a time. Returns true if it had not
+/// asked for that yet.
+bool pauseServer(Backends &backends, const std::string &id, Duration time, const Now &now);
+
+/// Returns when the first server of a service takes requests again, if all that are not leaving
+/// have asked this node to send nothing; empty if one takes requests now or there is none.
+std::optional<TimePoint> endOfPause(const Backends &backends, std::string_view service,
+                                    const Now &now);
+
 /// Returns true if the service has a server that is not leaving.
 bool hasActiveServer(const Backends &backends, std::string_view service);
 
--- a/packages/relay/RelayTest.cpp
+++ b/packages/relay/RelayTest.cpp
@@ -1,5 +1,7 @@
 #include "relay/RelayFixture.h"
 
+#include <set>
+
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
@@ -81,6 +83,50 @@
   BOOST_TEST(!f.S.Servers.Servers.at(first.Backend).Leaving);
 }
 
+// Guards against requests that are sent to a server within the time for which it wants none, and
+// against waiting for it in vain.
+BOOST_AUTO_TEST_CASE(PausedServerGetsNothing) {
+  Fixture f(2);
+  const auto pause = [&](CallId call, std::chrono::milliseconds time) {
+    onBackendHead(f.S, call, {.Status = 503, .IsGenuine = true, .NotRun = true, .NothingFor = time},
+                  f.Out, f.Time, f.Rng);
+  };
+  f.request("/safe/x");
+  const CallBackend first = f.call();
+  pause(first.Call, 4000ms);
+  const CallBackend second = f.call();
+  BOOST_TEST(second.Backend != first.Backend);
+  f.answer(second.Call, 200);
+  for (int i = 0; i < 10; ++i) {
+    f.wait(300ms);
+    f.request("/safe/x");
+    BOOST_TEST(f.call().Backend == second.Backend);
+    f.answer(f.call().Call, 200);
+  }
+  // A shorter time does not replace a longer one.
+  f.request("/safe/x");
+  f.Out.clear();
+  pause(second.Call + 11, 600ms);
+  BOOST_TEST(f.all<Refuse>().size() == 1U);
+  f.Out.clear();
+  f.request("/safe/x");
+  BOOST_TEST(f.all<CallBackend>().empty());
+  BOOST_TEST(f.only<Refuse>().Status == 503);
+  BOOST_TEST((f.only<Refuse>().RetryAfter >= 600ms));
+  f.wait(700ms);
+  f.request("/safe/x");
+  BOOST_TEST(f.call().Backend == second.Backend);
+  f.answer(f.call().Call, 200);
+  f.wait(400ms);
+  f.Out.clear();
+  for (int i = 0; i < 10; ++i)
+    f.request("/safe/x");
+  std::set<std::string> used;
+  for (const CallBackend &it : f.all<CallBackend>())
+    used.insert(it.Backend);
+  BOOST_TEST(used.size() == 2U);
+}
+
 // Guards against telling the caller that a request did not run when it may have.
 BOOST_AUTO_TEST_CASE(NotRunIsClaimedOnlyWhenTrue) {
   Fixture f(1);
--- a/packages/relay/detail/Dispatch.cpp
+++ b/packages/relay/detail/Dispatch.cpp
@@ -122,6 +122,21 @@
     send(ctx, request, choice);
 }
 
+/// Refuses a request whose servers have all asked this node to send nothing, if they do so for
+/// longer than it may wait. Returns false if it may still be served.
+bool refusePaused(Context &ctx, ActiveRequest &request, Duration maxQueueTime) {
+  const auto until = endOfPause(ctx.S.Servers, request.Service, ctx.Time);
+  if (!until || *until <= request.Arrived + maxQueueTime)
+    return false;
+  // Callers that are refused together should not return together.
+  const auto time = std::chrono::ceil<std::chrono::milliseconds>(*until - ctx.Time.Steady);
+  std::uniform_int_distribution<std::int64_t> spread(0, NoServerRetryAfter.count());
+  ctx.Out.push_back(IncrementCounter{"refused_behind", "backend_pause"});
+  refuse(ctx, request, ResultCode::NodeOverloaded,
+         time + std::chrono::milliseconds(spread(ctx.Rng)));
+  return true;
+}
+
 /// Refuses a request that waited too long for a server.
 void refuseWaiting(Context &ctx, ActiveRequest &request) {
   std::chrono::milliseconds retryAfter = NoServerRetryAfter;
@@ -172,6 +187,8 @@
   const auto maxQueueTime = std::chrono::duration_cast<Duration>(
       MaxQueueTimeFraction *
       std::min<Duration>(request.Route->Target, request.GiveUp - request.Arrived));
+  if (refusePaused(ctx, request, maxQueueTime))
+    return;
   if (ctx.Time.Steady - request.Arrived > maxQueueTime)
     refuseWaiting(ctx, request);
 }
