store, duty: the first era that appears after a reading is a return of the store

A store that names no era before its first return would have gone back unnoticed: the first era that became known was only noted. It is now noted without a reading only while nothing has been read.

FirstEraAfterAReadingIsARestore fails without the change (it expects a reading and the mirror goes on watching).

--- a/packages/duty/Lease.cpp
+++ b/packages/duty/Lease.cpp
@@ -108,7 +108,7 @@
 void onStoreRestored(Lease &lease, std::uint64_t era) {
   if (era <= lease.Era)
     return;
-  lease.IsUnverified = lease.Era != 0 && lease.LeaseId != 0;
+  lease.IsUnverified = lease.LeaseId != 0;
   lease.Era = era;
 }
 
--- a/packages/duty/UsagePosting.cpp
+++ b/packages/duty/UsagePosting.cpp
@@ -29,7 +29,7 @@
 void onStoreRestored(UsagePosting &posting, std::uint64_t era, WallTime now) {
   if (era <= posting.Era)
     return;
-  posting.RecordKnown = posting.RecordKnown && posting.Era == 0;
+  posting.RecordKnown = false;
   posting.Era = era;
   posting.EraSince = now;
 }
--- a/packages/store/Mirror.cpp
+++ b/packages/store/Mirror.cpp
@@ -155,7 +155,7 @@
 void onRestored(Mirror &mirror, std::uint64_t era, const Now &now) {
   if (era <= mirror.Era)
     return;
-  const bool isFirst = mirror.Era == 0;
+  const bool isFirst = mirror.Era == 0 && mirror.Revision == 0;
   mirror.Era = era;
   if (isFirst)
     return;
--- a/packages/store/Mirror.h
+++ b/packages/store/Mirror.h
@@ -110,7 +110,7 @@
 /// The store has come back from an older copy. All items are read again, and those that are missing
 /// are waited for as after an outage, because their owners write them again. The caller ignores the
 /// answer to a call that began before. Does nothing unless `era` is later than the current one, and
-/// only notes the first era that becomes known.
+/// only notes the era if nothing has been read yet.
 void onRestored(Mirror &mirror, std::uint64_t era, const Now &now);
 /// This node cancelled the pending call; the next call is due immediately.
 void onInterrupted(Mirror &mirror, const Now &now);
--- a/packages/store/MirrorTest.cpp
+++ b/packages/store/MirrorTest.cpp
@@ -132,6 +132,17 @@
   BOOST_TEST(f.M.Watching);
 }
 
+// Guards against a first return that is not noticed, because the store named no era before it.
+BOOST_AUTO_TEST_CASE(FirstEraAfterAReadingIsARestore) {
+  Fixture f;
+  f.next();
+  onPage(f.M, {{item("p/a", 8)}, false, 10}, f.Time);
+  f.next();
+  onInterrupted(f.M, f.Time);
+  onRestored(f.M, 1, f.Time);
+  BOOST_TEST((f.next().Type == MirrorCall::Kind::ReadPage));
+}
+
 // Guards against a reading whose first pages are from before the return and whose last are from
 // after it.
 BOOST_AUTO_TEST_CASE(ReadingAcrossARestoreStartsAgain) {
