tools: the fault soak plays what servers say of themselves and a store that comes back older

Servers of the soak state limits, that they leave, and pauses; the store comes back from a copy some seconds old, with an era in each answer. The new faults have a series of their own, so that a seed draws the same other faults as before.

--- a/tools/lib/soak/faults.py
+++ b/tools/lib/soak/faults.py
@@ -8,6 +8,9 @@
 from .server import Server
 
 MEAN_GAP = 1.0
+# The same for what servers say of themselves in answers, and for returns of the store from a copy.
+# They have a series of their own, so that a seed draws the same other faults as before.
+NOTICE_GAP = 5.0
 # Entries of silent servers lapse after three reports.
 LAPSE = 3.6
 # After this time an address may belong to a server of another service.
@@ -30,6 +33,8 @@
             self.server_cuts: 3, self.server_repeats: 2, self.server_link: 3, self.zone_drains: 1,
         }
         self.kinds = [kind for kind, weight in kinds.items() for _ in range(weight)]
+        self.notices = [self.server_limits, self.server_limits, self.server_pauses,
+                        self.store_restored]
 
     def plan(self, seed, seconds):
         """[(time, kind, seed of the fault)]"""
@@ -38,7 +43,12 @@
         while at < seconds:
             out.append((at, rng.choice(self.kinds), rng.getrandbits(32)))
             at += rng.expovariate(1 / MEAN_GAP)
-        return out
+        rng = random.Random(f"notices {seed}")
+        at = rng.expovariate(1 / NOTICE_GAP)
+        while at < seconds:
+            out.append((at, rng.choice(self.notices), rng.getrandbits(32)))
+            at += rng.expovariate(1 / NOTICE_GAP)
+        return sorted(out, key=lambda it: it[0])
 
     async def run(self, plan):
         begin = self.world.now()
@@ -143,12 +153,15 @@
 
     # The store and the duties.
 
-    async def _store_mode(self, mode, seconds):
+    async def _store_mode(self, mode, seconds, at_end=lambda: None):
         if "store" in self.held:
             return
+
+        def end():
+            at_end()
+            self.world.store.mode = "ok"
         self.held.add("store")
-        await self._during(["store"], seconds, lambda: setattr(self.world.store, "mode", mode),
-                           lambda: setattr(self.world.store, "mode", "ok"))
+        await self._during(["store"], seconds, lambda: setattr(self.world.store, "mode", mode), end)
         self.held.discard("store")
 
     async def store_down(self, rng):
@@ -194,6 +207,12 @@
                            lambda: setattr(duties, "mode", mode),
                            lambda: setattr(duties, "mode", "ok"))
 
+    async def store_restored(self, rng):
+        """The store is away for a moment and comes back from a copy some seconds old."""
+        age = 1 + 8 * rng.random()
+        await self._store_mode("down", 0.3 + 2 * rng.random(),
+                               lambda: self.world.store.restore(age))
+
     # Links.
 
     async def _harm(self, link, subjects, rng):
@@ -313,3 +332,22 @@
         n = rng.randrange(1, 6)
         await self._server_fault(rng, 2.0, lambda it: setattr(it, "extra_next", n),
                                  lambda it: setattr(it, "extra_next", 0))
+
+    # What servers say of themselves. This disturbs neither nodes nor the answers of the servers.
+
+    async def server_limits(self, rng):
+        limit, seconds = 0.3 + 3 * rng.random() ** 2, 8 + 6 * rng.random()
+
+        async def act(slot):
+            slot.server.limit = limit
+            server = slot.server
+            await asyncio.sleep(seconds)
+            server.limit = None
+            self.ledger.limit_ended(server)
+        await self._with_slot(rng, act)
+
+    async def server_pauses(self, rng):
+        async def act(slot):
+            slot.server.pause, slot.server.pause_next = 1 + 3 * rng.random(), rng.randrange(1, 5)
+            await asyncio.sleep(5)
+        await self._with_slot(rng, act)
--- a/tools/lib/soak/ledger.py
+++ b/tools/lib/soak/ledger.py
@@ -23,6 +23,13 @@
 QUOTA_SLACK = 0.8
 # Added to bounds in time: the soak's own event loop and a busy machine delay its observations.
 TOLERANCE = 0.25
+# A server's limit: the span that is judged, what is allowed in it beside the stated rate, and how
+# long a node may go on after the first answer with a limit or a pause that it passed on.
+LIMIT_SPAN = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+NOTICE_DELAY = 0.5
+PAUSE_SLACK = 2
 PROMISES = (408, 421, 429, 503)
 
 
@@ -82,6 +89,11 @@
         self.usage = {}
         self.fence = (0, "")
         self.holders = []
+        # Statements of servers in answers: (server, node) -> time, or (from, until, arrivals).
+        self.limits = {}
+        self.limited_since = {}
+        self.leaving = {}
+        self.pauses = {}
 
     def now(self):
         return self.world.now()
@@ -142,10 +154,61 @@
             if since > DRAIN + TOLERANCE and late >= 0 and self.in_touch(
                     attempt.node, server.left_at):
                 self.violate("DRAIN", f"{where}: {since:.2f} s after it left, by {attempt.node}")
+        self._judge_notices(server, attempt, run)
         attempt.runs.append(run)
         self.runs.append(run)
         return run
 
+    # Statements of backend servers in their answers.
+
+    def _node_of(self, run):
+        attempt = self.attempts.get(run.attempt)
+        return attempt.node if attempt else ""
+
+    def limit_stated(self, server, run):
+        self.limits.setdefault((server.id, self._node_of(run)), self.now())
+        self.limited_since.setdefault(server.id, self.now())
+
+    def limit_ended(self, server):
+        self.limited_since.pop(server.id, None)
+        for key in [it for it in self.limits if it[0] == server.id]:
+            del self.limits[key]
+
+    def leaving_stated(self, server, run):
+        self.leaving.setdefault((server.id, self._node_of(run)), self.now())
+
+    def pause_stated(self, server, run):
+        self.pauses[server.id, self._node_of(run)] = [self.now(), self.now() + server.pause, 0]
+
+    def _is_same_life(self, node, since):
+        """The node was neither stopped, killed nor paused since."""
+        return self.is_calm(since, self.now(), ("node", node), ("stopping", node))
+
+    def _judge_notices(self, server, attempt, run):
+        node, now = attempt.node, run.arrived
+        where = f"{run.attempt} at {server.id}, by {node}"
+        left = self.leaving.get((server.id, node))
+        if left is not None and attempt.sent > left + DRAIN + TOLERANCE and self._is_same_life(
+                node, left):
+            self.violate("DRAIN", f"{where}: {now - left:.2f} s after its answer said that it leaves")
+        pause = self.pauses.get((server.id, node))
+        if pause and pause[0] + NOTICE_DELAY + TOLERANCE < now < pause[1] and self._is_same_life(
+                node, pause[0]):
+            pause[2] += 1
+            if pause[2] == PAUSE_SLACK + 1:
+                self.violate("BUDGET", f"{where}: {pause[2]} requests within a pause")
+        since = self.limited_since.get(server.id)
+        if server.limit is None or since is None or now - since < CONTACT + LIMIT_SPAN:
+            return
+        known = lambda it: (told := self.limits.get((server.id, it))) is not None and (
+            told + NOTICE_DELAY + TOLERANCE < now - LIMIT_SPAN) and self._is_same_life(it, told)
+        got = 1 + sum(1 for it in self.runs if it.server == server.id
+                      and it.arrived > now - LIMIT_SPAN and known(self._node_of(it)))
+        allowed = LIMIT_FACTOR * LIMIT_SPAN * server.limit + LIMIT_SLACK
+        if got > allowed:
+            self.violate("LIMIT", f"{where}: {got} requests in {LIMIT_SPAN:.0f} s, {allowed:.1f} "
+                                  f"are allowed")
+
     def still_working(self, run, since):
         """The server works on although the caller left at `since`."""
         attempt = self.attempts[run.attempt]
--- a/tools/lib/soak/server.py
+++ b/tools/lib/soak/server.py
@@ -25,6 +25,11 @@
         self.cut_next = 0
         self.extra_next = 0
         self.frozen = False
+        # What it says of itself: requests per second that it takes from all nodes together; how many
+        # requests it will turn away, and for how many seconds it then wants none from that node.
+        self.limit = None
+        self.pause_next = 0
+        self.pause = 0.0
         self._writers = set()
 
     async def start(self, link):
@@ -87,9 +92,20 @@
             self._writers.discard(writer)
             wire.abort(writer)
 
+    def _notices(self, run):
+        """Fields of an answer in which the server speaks of itself."""
+        ledger, out = self.world.ledger, {}
+        if self.limit is not None:
+            out["Server-Limit"] = f"{self.limit:.2f}"
+            ledger.limit_stated(self, run)
+        if self.left_at is not None:
+            out["Server-Leaving"] = "1"
+            ledger.leaving_stated(self, run)
+        return out
+
     def _fields(self, run):
         run.stamp = f"{self.id}.{self.runs}"
-        return {"Attempt-Id": run.attempt, "Server-Stamp": run.stamp}
+        return {"Attempt-Id": run.attempt, "Server-Stamp": run.stamp, **self._notices(run)}
 
     async def _handle(self, request, reader, writer):
         if request.fields.get("expect-instance") != self.id:
@@ -98,8 +114,13 @@
             await writer.drain()
             return True
         run = self.world.ledger.arrived(request, self)
-        if self.running >= SLOTS or self.rng.random() < 0.01:
-            writer.write(wire.response(503, {"Not-Executed": "1", "Attempt-Id": run.attempt}))
+        if self.running >= SLOTS or self.pause_next > 0 or self.rng.random() < 0.01:
+            fields = {"Not-Executed": "1", "Attempt-Id": run.attempt, **self._notices(run)}
+            if self.pause_next > 0:
+                self.pause_next -= 1
+                fields["Retry-After"] = f"{self.pause:.2f}"
+                self.world.ledger.pause_stated(self, run)
+            writer.write(wire.response(503, fields))
             await writer.drain()
             return True
         self.running += 1
--- a/tools/lib/soak/store.py
+++ b/tools/lib/soak/store.py
@@ -11,6 +11,9 @@
 from . import wire
 
 PAGE = 50
+# Copies from which the store may come back: how many, and the time between them.
+COPIES = 30
+COPY_PERIOD = 0.5
 
 
 class Store:
@@ -28,6 +31,9 @@
         self.mode = "ok"
         self.node_modes = {}
         self.calls = {}
+        # Rises by one each time that the store comes back from an older copy.
+        self.era = 1
+        self._copies = []
 
     async def listen(self, node):
         server = await asyncio.start_server(
@@ -56,6 +62,34 @@
         self.oldest = self.revision
         self._wake()
 
+    def keep_copy(self):
+        """Called often; keeps a copy now and then."""
+        now = self.world.now()
+        if not self._copies or now - self._copies[-1][0] >= COPY_PERIOD:
+            self._copies.append((now, dict(self.items), {k: dict(v) for k, v in self.leases.items()},
+                                 self.revision, self.next_lease))
+            del self._copies[:-COPIES]
+
+    def restore(self, age):
+        """Comes back as it was `age` seconds ago. What operators and servers wrote since is written
+        again, what the system wrote is gone."""
+        newest = self.items
+        older = [it for it in self._copies if it[0] <= self.world.now() - age] or self._copies[:1]
+        taken, items, leases, self.revision, self.next_lease = older[-1]
+        away = self.world.now() - taken
+        self.items = dict(items)
+        self.leases = {k: {**v, "ends": v["ends"] + away} for k, v in leases.items()}
+        self._copies = [it for it in self._copies if it[0] <= taken]
+        self.era += 1
+        self.history.clear()
+        self.oldest = self.revision
+        outside = lambda key: key.startswith(("op/", "servers/"))
+        for key in [k for k in self.items if outside(k) and k not in newest]:
+            self.remove(key)
+        for key in [k for k in newest if outside(k) and newest[k] != self.items.get(k)]:
+            self.put(key, base64.b64decode(newest[key]["value"]))
+        self._wake()
+
     def expire_leases(self):
         for lease in [n for n, it in self.leases.items() if it["ends"] <= self.world.now()]:
             self._end_lease(lease)
@@ -92,7 +126,8 @@
                     await asyncio.sleep(30)
                     break
                 body = json.dumps(answer[1]).encode()
-                writer.write(wire.response(answer[0], {"Content-Type": "application/json"}, body))
+                fields = {"Content-Type": "application/json", "Store-Era": self.era}
+                writer.write(wire.response(answer[0], fields, body))
                 await writer.drain()
         except (wire.BrokenMessage, OSError):
             pass
@@ -103,6 +138,7 @@
         query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
         self.calls[url.path.split("/")[1]] = self.calls.get(url.path.split("/")[1], 0) + 1
         self.expire_leases()
+        self.keep_copy()
         if url.path == "/kv-key":
             item = self.items.get(query["key"])
             return (404, {}) if item is None else (200, {**item, "as-of": self.revision})
@@ -135,7 +171,7 @@
     async def _watch(self, prefix, after, wait):
         end = self.world.now() + wait
         while True:
-            if after < self.oldest and self.oldest > 1:
+            if (after < self.oldest and self.oldest > 1) or after > self.revision:
                 return 410, {}
             events = [e for e in self.history
                       if e["revision"] > after and e["key"].startswith(prefix)]
