--- a/packages/daemon/edge/EdgeTest.cpp
+++ b/packages/daemon/edge/EdgeTest.cpp
@@ -1,149 +1,10 @@
 // A whole node against stand-ins of the platform's store and backend servers, by the published
 // protocol.
-#include "daemon/edge/Edge.h"
-
-#include "http/TestNet.h"
-#include "platform/testing/PlatformStandIn.h"
-#include "settings/ParseNodeSettings.h"
-
-#include <boost/test/unit_test.hpp>
+#include "daemon/edge/EdgeFixture.h"
 
 using namespace chervil;
 using namespace chervil::daemon;
-using namespace chervil::adapter::test;
-using chervil::adapter::Json;
-using namespace std::chrono_literals;
-
-namespace {
-
-Json route(const char *name, const char *prefix, const char *kind, const char *service,
-           bool resumable = false) {
-  return {{"name", name},
-          {"host", "h.example"},
-          {"path-prefix", prefix},
-          {"route-kind", kind},
-          {"service", service},
-          {"timeout-ms", 1500},
-          {"max-attempts", 2},
-          {"target-latency-ms", 300},
-          {"stream-resume", resumable},
-          {"session-affinity", true}};
-}
-
-Json configurationDocument(std::uint64_t version) {
-  return {{"version", version},
-          {"routes",
-           {route("safe", "/app/", "safe", "app"), route("unsafe", "/app/book/", "unsafe", "app"),
-            route("resumed", "/draft/", "streaming", "model", true)}},
-          {"services", {{{"name", "app"}}, {{"name", "model"}}}},
-          {"tenants", {{{"name", "w"}, {"api-keys", {"key"}}}}}};
-}
-
-NodeSettings settingsFor(const std::string &store) {
-  const std::string text = "[node]\nname = n1\nregion = r\ndata_centre = z\n"
-                           "peer_listen = 127.0.0.1:0\ncaller_listen = 127.0.0.1:0\n"
-                           "admin_listen = 127.0.0.1:0\npeer_secret = 0123456789abcdef\n"
-                           "admin_token = operator-token\n[edge]\nstore_address = " +
-                           store + "\n";
-  return std::move(*parseNodeSettings(text, "node.ini"));
-}
-
-struct Answer {
-  int Status = 0;
-  std::string Body;
-  http::Fields Fields;
-  bool Ended = false;
-  http::Failure Failure = http::Failure::None;
-};
-
-/// Stand-ins need the loop, which the node owns, and the node needs the store's address.
-struct Fixture {
-  std::unique_ptr<Edge> Node;
-  StoreStandIn Store;
-  BackendStandIn A{.Id = "a", .Server = {}, .Ran = {}, .Gone = 0, .Behave = {}};
-  BackendStandIn B{.Id = "b", .Server = {}, .Ran = {}, .Gone = 0, .Behave = {}};
-  BackendStandIn M{.Id = "m", .Server = {}, .Ran = {}, .Gone = 0, .Behave = {}};
-  BackendStandIn N{.Id = "n", .Server = {}, .Ran = {}, .Gone = 0, .Behave = {}};
-  http::ClientPtr Caller;
-
-  Fixture() {
-    Node = std::make_unique<Edge>(settingsFor("127.0.0.1:1"), "");
-    Node->Log.Descriptor = -1;
-    Store.start(Node->Loop, Node->Timers);
-    Node->Settings.Edge.StoreAddress = Store.address();
-    // The address listened on, whose port is known later.
-    Node->Settings.Node.PeerAdvertise.clear();
-    Store.put("op/config", configurationDocument(1));
-    for (BackendStandIn *it : {&A, &B, &M, &N}) {
-      it->start(Node->Loop, Node->Timers);
-      announce(*it, "ready");
-    }
-    // Entries of other writers must not disturb the rest.
-    Store.put("servers/x", {{"service", 7}, {"state", "ready"}});
-    BOOST_REQUIRE(start(*Node).has_value());
-    Caller = http::makeClient(Node->Loop, Node->Timers, {});
-    BOOST_REQUIRE(runUntil([&] { return isReady(*Node); }));
-  }
-  ~Fixture() {
-    Caller.reset();
-    for (BackendStandIn *it : {&A, &B, &M, &N})
-      it->Server.reset();
-    Store.Server.reset();
-  }
-
-  void announce(const BackendStandIn &it, const char *state, const std::string &address = {}) {
-    const bool model = it.Id == "m" || it.Id == "n";
-    Store.put("servers/" + it.Id, {{"service", model ? "model" : "app"},
-                                   {"address", address.empty() ? it.address() : address},
-                                   {"zone", "z"},
-                                   {"slots", 4},
-                                   {"state", state},
-                                   {"sequence", 1}});
-  }
-
-  bool runUntil(const std::function<bool()> &holds,
-                std::chrono::milliseconds within = std::chrono::milliseconds(5000)) {
-    const TimePoint end = net::readNow().Steady + within;
-    while (!holds()) {
-      if (net::readNow().Steady >= end)
-        return false;
-      ev_run(Node->Loop.Raw.get(), EVRUN_ONCE);
-    }
-    return true;
-  }
-
-  std::uint64_t send(Answer &to, const char *method, const char *path, const char *key = "key") {
-    http::Call call;
-    call.Address = "127.0.0.1:" + std::to_string(http::port(*Node->Callers));
-    call.Head = {method,
-                 path,
-                 {{"Host", "h.example"},
-                  {"Attempt-Id", "9c41"},
-                  {"Deadline-Ms", "2000"},
-                  {"X-Api-Key", key}}};
-    return http::startCall(*Caller, std::move(call),
-                           {.OnHead =
-                                [&to](const http::ResponseHead &h) {
-                                  to.Status = h.Status;
-                                  to.Fields = h.Fields;
-                                },
-                            .OnData = [&to](std::string_view bytes) { to.Body += bytes; },
-                            .OnEnd =
-                                [&to](const http::End &end) {
-                                  to.Ended = true;
-                                  to.Failure = end.Failure;
-                                }});
-  }
-
-  Answer ask(const char *method, const char *path, const char *key = "key") {
-    Answer out;
-    send(out, method, path, key);
-    BOOST_TEST(runUntil([&] { return out.Ended; }));
-    return out;
-  }
-};
-
-} // namespace
+using namespace chervil::daemon::test;
 
 BOOST_AUTO_TEST_SUITE(EdgeNode)
 
@@ -238,61 +99,6 @@
   BOOST_TEST(f.A.Ran.size() > before);
 }
 
-// Guards against a departure that is known too late because one answer of the list was lost: new
-// work must end within 2 s.
-BOOST_AUTO_TEST_CASE(LostListDoesNotHideADepartureForLong) {
-  Fixture f;
-  f.Store.LostPrefix = "servers/";
-  f.Store.LostReads = 1;
-  f.announce(f.A, "draining");
-  BOOST_TEST(f.runUntil([&] { return f.Node->Relay.Servers.Servers.at("a").Leaving; }, 2000ms));
-  BOOST_TEST(f.Store.LostReads == 0U);
-}
-
-// Guards against a departure that is not seen after the store has come back from an older copy,
-// because its revisions are lower than that of the list in use.
-BOOST_AUTO_TEST_CASE(DepartureAfterARestoreIsSeenInTime) {
-  Fixture f;
-  const auto copy = f.Store.Items;
-  const std::uint64_t revision = f.Store.Revision;
-  f.Store.Revision += 1000;
-  f.announce(f.B, "ready");
-  BOOST_TEST(f.runUntil([&] { return f.Node->ServerItems.Revision > 1000; }, 2000ms));
-  f.Store.restore(copy, revision);
-  f.announce(f.A, "draining");
-  BOOST_TEST(f.runUntil([&] { return f.Node->Relay.Servers.Servers.at("a").Leaving; }, 2000ms));
-  BOOST_TEST(f.Node->StoreEra == 2U);
-}
-
-// Guards against a configuration that was written after the store came back from an older copy and
-// is never read, because its revision is lower than that of the watch.
-BOOST_AUTO_TEST_CASE(ConfigurationAfterARestoreComesIntoForce) {
-  Fixture f;
-  const auto copy = f.Store.Items;
-  const std::uint64_t revision = f.Store.Revision;
-  f.Store.Revision += 1000;
-  f.Store.put("op/config", configurationDocument(2));
-  BOOST_TEST(f.runUntil([&] { return f.Node->Relay.Config->Version == 2; }, 2000ms));
-  f.Store.restore(copy, revision);
-  f.Store.put("op/config", configurationDocument(3));
-  BOOST_TEST(f.runUntil([&] { return f.Node->Relay.Config->Version == 3; }, 2000ms));
-}
-
-// Guards against servers that are taken for gone because the copy from which the store came back
-// does not have them yet.
-BOOST_AUTO_TEST_CASE(ServersMissingInAnOlderCopyAreKept) {
-  Fixture f;
-  auto copy = f.Store.Items;
-  copy.erase("servers/a");
-  f.Store.restore(copy, 1);
-  BOOST_TEST(f.runUntil([&] { return f.Node->ServerItems.Era == 2; }, 2000ms));
-  f.runUntil([] { return false; }, 600ms);
-  f.announce(f.A, "ready");
-  BOOST_TEST(!f.Node->Relay.Servers.Servers.at("a").Leaving);
-  f.runUntil([] { return false; }, 3000ms);
-  BOOST_TEST(!f.Node->Relay.Servers.Servers.at("a").Leaving);
-}
-
 // Guards against a request that runs at a server which took over an address, and is not served.
 BOOST_AUTO_TEST_CASE(AddressOfAnotherServerIsNotUsed) {
   Fixture f;
@@ -339,17 +145,6 @@
   BOOST_TEST(f.A.Ran.size() + f.B.Ran.size() == 1U);
 }
 
-// Guards against a changed configuration that does not come into force.
-BOOST_AUTO_TEST_CASE(NewConfigurationComesIntoForce) {
-  Fixture f;
-  Json next = configurationDocument(5);
-  next["tenants"][0]["api-keys"] = {"new"};
-  f.Store.put("op/config", next);
-  BOOST_TEST(f.runUntil([&] { return f.Node->Relay.Config->Version == 5; }, 2000ms));
-  BOOST_TEST(f.ask("GET", "/app/x").Status == 401);
-  BOOST_TEST(f.ask("GET", "/app/x", "new").Status == 200);
-}
-
 // Guards against a stop that cuts a request, and a node that counts as ready while it stops.
 BOOST_AUTO_TEST_CASE(StopLetsRequestsEnd) {
   Fixture f;
@@ -372,32 +167,4 @@
   BOOST_TEST(f.runUntil([&] { return f.Node->Stopping; }, 8000ms));
 }
 
-// Guards against a configuration that is not in force in time because the store has lost the
-// waiting watch while other calls to it are answered.
-BOOST_AUTO_TEST_CASE(ForgottenWatchDoesNotHideAConfiguration) {
-  Fixture f;
-  f.Store.ForgetsWaitingWatches = true;
-  BOOST_TEST(!f.runUntil([] { return false; }, 500ms));
-  for (std::uint64_t version = 2; version <= 4; ++version) {
-    f.Store.put("op/config", configurationDocument(version));
-    BOOST_TEST(f.runUntil([&] { return f.Node->Relay.Config->Version == version; }, 2000ms));
-  }
-}
-
-// Guards against a copy of a configuration that cannot be read and hides the readable one.
-BOOST_AUTO_TEST_CASE(UnreadableCopyDoesNotHideAVersion) {
-  Fixture f;
-  auto peer = net::startPeerTransport(
-      f.Node->Loop, {.Self = {"peer", 1}, .DataCentre = "z", .Secret = "0123456789abcdef"},
-      {.OnMessage = [](const NodeId &, const std::string &, message::Message &&) {},
-       .OnUnreachable = [](const std::string &) {}});
-  BOOST_REQUIRE(peer.has_value());
-  const std::string whole = configurationDocument(7).dump();
-  const char *name = "operators/configuration";
-  const std::string &to = net::peerAddress(*f.Node->Peers);
-  net::send(**peer, to, message::DocUpdate{name, 7, whole.substr(0, whole.size() / 2)});
-  net::send(**peer, to, message::DocUpdate{name, 7, whole});
-  BOOST_TEST(f.runUntil([&] { return f.Node->Relay.Config->Version == 7; }, 1000ms));
-}
-
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/duty/LeaseTest.cpp
+++ b/packages/duty/LeaseTest.cpp
@@ -78,6 +78,13 @@
     onCallFailed(n.L, now);
 }
 
+/// Lets the node create its lease and claim the free duty.
+void takeDuty(FakeStore &s, Node &n, const Now &now) {
+  for (int i = 0; i < 3; ++i)
+    if (const auto call = nextCall(n.L, s.Key ? &*s.Key : nullptr, true, now))
+      serve(s, n, *call, now, false);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(DutyLease)
@@ -200,9 +207,7 @@
     n.L.Era = 1;
     n.L.Options.Value = "n";
     Now now{TimePoint(1000s), WallTime(0s)};
-    for (int i = 0; i < 3; ++i)
-      if (const auto call = nextCall(n.L, s.Key ? &*s.Key : nullptr, true, now))
-        serve(s, n, *call, now, false);
+    takeDuty(s, n, now);
     BOOST_TEST(isHeld(n.L, now));
     const std::uint64_t token = n.L.FencingToken;
     onStoreRestored(n.L, 2);
@@ -220,9 +225,7 @@
   Node n;
   n.L.Options.Value = "n";
   Now now{TimePoint(1000s), WallTime(0s)};
-  for (int i = 0; i < 3; ++i)
-    if (const auto call = nextCall(n.L, s.Key ? &*s.Key : nullptr, true, now))
-      serve(s, n, *call, now, false);
+  takeDuty(s, n, now);
   BOOST_TEST(isHeld(n.L, now));
   n.L.Resigning = true;
   BOOST_TEST(!isHeld(n.L, now));
