relay: Retry-After of refusals behind servers is spread by one function

refusePaused and refuseWaiting drew the same random addition by the same lines. Same draws, same bounds; relay_test passes unchanged.

--- a/packages/relay/detail/Dispatch.cpp
+++ b/packages/relay/detail/Dispatch.cpp
@@ -122,18 +122,21 @@
     send(ctx, request, choice);
 }
 
+/// Random addition to a Retry-After: callers that are refused together should not return together.
+std::chrono::milliseconds returnSpread(Context &ctx) {
+  std::uniform_int_distribution<std::int64_t> spread(0, NoServerRetryAfter.count());
+  return std::chrono::milliseconds(spread(ctx.Rng));
+}
+
 /// Refuses a request whose servers have all asked this node to send nothing, if they do so for
 /// longer than it may wait. Returns false if it may still be served.
 bool refusePaused(Context &ctx, ActiveRequest &request, Duration maxQueueTime) {
   const auto until = endOfPause(ctx.S.Servers, request.Service, ctx.Time);
   if (!until || *until <= request.Arrived + maxQueueTime)
     return false;
-  // Callers that are refused together should not return together.
   const auto time = std::chrono::ceil<std::chrono::milliseconds>(*until - ctx.Time.Steady);
-  std::uniform_int_distribution<std::int64_t> spread(0, NoServerRetryAfter.count());
   ctx.Out.push_back(IncrementCounter{"refused_behind", "backend_pause"});
-  refuse(ctx, request, ResultCode::NodeOverloaded,
-         time + std::chrono::milliseconds(spread(ctx.Rng)));
+  refuse(ctx, request, ResultCode::NodeOverloaded, time + returnSpread(ctx));
   return true;
 }
 
@@ -141,9 +144,7 @@
 void refuseWaiting(Context &ctx, ActiveRequest &request) {
   std::chrono::milliseconds retryAfter = NoServerRetryAfter;
   if (hasServerBehindLimit(ctx.S.Servers, criteriaOf(ctx.S, request), ctx.Time)) {
-    // Callers that are refused together should not return together.
-    retryAfter += std::chrono::milliseconds(
-        std::uniform_int_distribution<std::int64_t>(0, NoServerRetryAfter.count())(ctx.Rng));
+    retryAfter += returnSpread(ctx);
     ctx.Out.push_back(IncrementCounter{"refused_behind", "server_limit"});
     logRequest(ctx, request, "waited_for_server_limit", {});
   }
