--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -183,6 +183,8 @@
         self.world = world
         # (time, path, subject, holder, fence, body)
         self.calls = []
+        # Answers an order; 409 if no such engine is to be had.
+        self.status_of = lambda path, body: 200
         self.changed = asyncio.Event()
 
     async def listen(self):
@@ -200,7 +202,7 @@
                 self.world.log(f"platform: {call[1]} {subject} from {call[3]}, fence {call[4]}: {json.dumps(body)}")
                 self.changed.set()
                 self.changed = asyncio.Event()
-                writer.write(wire.response(200, {"Content-Type": "application/json"}, b"{}"))
+                writer.write(wire.response(self.status_of(r.target, body), {"Content-Type": "application/json"}, b"{}"))
                 await writer.drain()
         except (wire.BrokenMessage, OSError):
             pass
