--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -43,6 +43,26 @@
     pass
 
 
+class TappedLink(Link):
+    """A link whose `tap`, if set, sees the bytes towards the target, and may hold them back, before they pass."""
+
+    tap = None
+
+    async def _pump(self, reader, writer, direction):
+        await super()._pump(Tap(self, reader) if direction == "silent_up" else reader, writer, direction)
+
+
+class Tap:
+    def __init__(self, link, reader):
+        self.link, self.reader = link, reader
+
+    async def read(self, n):
+        data = await self.reader.read(n)
+        if data and self.link.tap is not None:
+            await self.link.tap(data)
+        return data
+
+
 _held = []
 
 
@@ -125,7 +145,7 @@
     async def prepare(self):
         # Links to the store and to the platform's duties, which a case may harm.
         self.store_link = await Link.start(await self.world.store.listen(self.name))
-        self.duty_link = await Link.start(self.world.duty_port)
+        self.duty_link = await TappedLink.start(self.world.duty_port)
 
     def settings(self):
         values = {
@@ -332,6 +352,8 @@
         print(f"{PROGRAM} is not built")
         sys.exit(2)
     world = None
+    # The nodes end, too, when the script is told to stop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
     async def play():
         nonlocal world
