--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -18,7 +19,6 @@
 import sys
 import tempfile
 import time
-import traceback
 import uuid
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -368,13 +368,13 @@
         held = asyncio.run(play())
         status = 0 if held else 1
         world.log(f"result: the rule was {'kept' if held else 'BROKEN'} (TROUBLE={int(TROUBLE)})")
-        print(world.lines[-1])
     except Exception as e:
-        traceback.print_exc()
+        status = 2
         if world is not None:
             world.log(f"result: the case could not run: {type(e).__name__} {e}")
     if world is not None:
         (folder / "record.txt").write_text("\n".join(world.lines) + "\n")
         shutil.rmtree(world.directory, ignore_errors=True)
-    sys.stdout.flush()
+        with contextlib.suppress(OSError):
+            print(world.lines[-1], flush=True)
     os._exit(status)
