duty, daemon: a holder that stops keeps its lease until its calls have ended

What the platform saw: a rolling restart reached the holder while an order was on its way; the next holder had the duty and had ordered everything 50 to 100 ms later, and then the first holder's order arrived, with a lower fencing token, which the platform does not check.

Cause: Resigning revoked the lease in the next tick, whatever calls were under way. Ruled out: a second send by the HTTP client (it never repeats), a tick that acts after SIGTERM (isHeld is false from then on), an old token of a later tenure (the token in the record of the case is that of the first).

Change: orders and usage reports go through callAsHolder, which counts them in the lease; the lease is revoked once none is under way, and at once when the last one ends. Writes to the store need no such care: they are conditional on the holder's key.

Price in time without a holder: what is left of the calls under way, a round trip as a rule and 1 s at most (the bound of a call), instead of none.

Tests, which failed before (the condition taken out): LeaseIsKeptUntilActionsHaveEnded, and with a whole node HolderThatStopsKeepsTheLeaseUntilItsCallsAreAnswered, for an order and for a usage report.

--- a/packages/daemon/edge/EdgeDuty.cpp
+++ b/packages/daemon/edge/EdgeDuty.cpp
@@ -4,6 +4,7 @@
 #include "membership/Queries.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace chervil::daemon::detail {
 namespace {
@@ -117,6 +118,17 @@
   return {edge.Settings.Node.Name, edge.Lease.FencingToken};
 }
 
+void callAsHolder(Edge &edge, http::Call what, OnAnswer onAnswer) {
+  duty::onActionStarted(edge.Lease);
+  callPlatform(edge, std::move(what),
+               [&edge, onAnswer = std::move(onAnswer)](const PlatformAnswer &answer) {
+                 duty::onActionEnded(edge.Lease);
+                 onAnswer(answer);
+                 if (edge.Lease.Resigning)
+                   tickLease(edge);
+               });
+}
+
 const store::Item *holderItem(const Edge &edge) {
   const auto it = edge.OwnItems.Items.find(HolderKey);
   return it == edge.OwnItems.Items.end() ? nullptr : &it->second;
--- /dev/null
+++ b/packages/daemon/edge/EdgeDutyTest.cpp
@@ -0,0 +1,77 @@
+// A whole node that holds the duty, with stand-ins of the store and of the platform's duty calls.
+#include "daemon/edge/EdgeFixture.h"
+
+#include "duty/Lease.h"
+
+using namespace chervil;
+using namespace chervil::daemon;
+using namespace chervil::daemon::test;
+
+namespace {
+
+/// Takes the calls of the holder and leaves them without an answer until answerAll().
+struct DutyStandIn {
+  http::ServerPtr Server;
+  std::vector<http::Request> Calls;
+  std::vector<std::uint64_t> Unanswered;
+
+  void answerAll() {
+    for (const std::uint64_t id : Unanswered)
+      http::respond(*Server, id, {.Status = 200, .Body = "{}"});
+    Unanswered.clear();
+  }
+};
+
+struct DutyFixture : Fixture {
+  DutyStandIn Duty;
+
+  DutyFixture() {
+    Duty.Server = std::move(*http::startServer(Node->Loop, Node->Timers, {.Address = "127.0.0.1:0"},
+                                               {.OnRequest = [this](http::Request &&r) {
+                                                 Duty.Unanswered.push_back(r.Id);
+                                                 Duty.Calls.push_back(std::move(r));
+                                               }}));
+    Node->Settings.Edge.DutyAddress = "127.0.0.1:" + std::to_string(http::port(*Duty.Server));
+  }
+  ~DutyFixture() { Duty.Server.reset(); }
+
+  bool getsCall(const char *path) {
+    return runUntil(
+        [&] {
+          return std::ranges::any_of(
+              Duty.Calls, [&](const http::Request &it) { return it.Head.Target == path; });
+        },
+        10s);
+  }
+};
+
+/// A service for which the holder orders servers.
+Json scaledConfiguration(std::uint64_t version) {
+  Json out = configurationDocument(version);
+  out["services"][1]["scaling"] = {
+      {"min", 1}, {"max", 4}, {"boot-s", 4.0}, {"spot-price", 0.22}, {"zone-prices", {{"z", 1.0}}}};
+  return out;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(EdgeNode)
+
+// Guards against an order or a usage report of a holder that stops which reaches the platform after
+// those of the next holder: the lease was given back while the call was unanswered.
+BOOST_AUTO_TEST_CASE(HolderThatStopsKeepsTheLeaseUntilItsCallsAreAnswered) {
+  for (const char *path : {"/scale", "/usage"}) {
+    DutyFixture f;
+    f.Node->Usage.Window = 1s;
+    if (path == std::string("/scale"))
+      f.Store.put("op/config", scaledConfiguration(2));
+    BOOST_REQUIRE_MESSAGE(f.getsCall(path), path);
+    leave(*f.Node);
+    f.runUntil([] { return false; }, 300ms);
+    BOOST_TEST(f.Store.RevokedLeases == 0U, path);
+    f.Duty.answerAll();
+    BOOST_TEST(f.runUntil([&] { return f.Store.RevokedLeases == 1; }, 200ms), path);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/packages/daemon/edge/EdgeOrders.cpp
+++ b/packages/daemon/edge/EdgeOrders.cpp
@@ -37,7 +37,7 @@
 
 void order(Edge &edge, const std::string &service, const fleet::ZoneOrder &what) {
   const adapter::ServerOrder order{service, what.DataCentre, what.Reclaimable, what.Count};
-  callPlatform(edge, adapter::orderCall(edge.Settings.Edge.DutyAddress, holderOf(edge), order),
+  callAsHolder(edge, adapter::orderCall(edge.Settings.Edge.DutyAddress, holderOf(edge), order),
                [&edge, service, what](const PlatformAnswer &answer) {
                  logLine(edge, "duty", "servers_ordered",
                          {{"service", service},
--- a/packages/daemon/edge/EdgeUsage.cpp
+++ b/packages/daemon/edge/EdgeUsage.cpp
@@ -81,7 +81,7 @@
 }
 
 void post(Edge &edge, const duty::UsageStep &step) {
-  callPlatform(
+  callAsHolder(
       edge,
       adapter::usageCall(edge.Settings.Edge.DutyAddress, holderOf(edge), step.Window, step.Counts),
       [&edge, step](const PlatformAnswer &answer) {
--- a/packages/duty/Lease.cpp
+++ b/packages/duty/Lease.cpp
@@ -50,7 +50,7 @@
   if (lease.IsUnverified)
     return std::nullopt;
   if (lease.Resigning) {
-    if (lease.LeaseId == 0)
+    if (lease.LeaseId == 0 || lease.OpenActions > 0)
       return std::nullopt;
     return beginCall(lease, LeaseCall::Kind::End, now);
   }
@@ -135,4 +135,11 @@
          now.Steady - lease.ConfirmedAt < lease.Options.Ttl - lease.Options.Margin;
 }
 
+void onActionStarted(Lease &lease) { ++lease.OpenActions; }
+
+void onActionEnded(Lease &lease) {
+  if (lease.OpenActions > 0)
+    --lease.OpenActions;
+}
+
 } // namespace chervil::duty
--- a/packages/duty/Lease.h
+++ b/packages/duty/Lease.h
@@ -1,7 +1,10 @@
 // Leader election for a duty, a task that one node performs at a time: the holder keeps a key with
 // a lease in the platform's store. Usage:
 //   if (auto call = nextCall(lease, holder, true, now)) start(*call);   // on each tick and result
-//   if (isHeld(lease, now)) act(lease.FencingToken);
+//   if (isHeld(lease, now)) {
+//     onActionStarted(lease);
+//     act(lease.FencingToken, actionTimeout(lease, now));   // ends with onActionEnded()
+//   }
 // Pure: performs no I/O. Time points must advance while the VM is suspended, since the time of the
 // store does.
 #ifndef CHERVIL_DUTY_LEASE_H
@@ -69,8 +72,10 @@
   std::optional<LeaseCall> PendingCall;
   /// No call other than End starts before this time.
   TimePoint NextCall{};
-  /// The lease is to be revoked and not claimed again.
+  /// The lease is to be revoked once no action is under way, and not claimed again.
   bool Resigning = false;
+  /// Actions of this node as the holder that have not ended.
+  unsigned OpenActions = 0;
 };
 
 /// Returns the fencing token of the holder whose key was created at this position. It increases
@@ -107,6 +112,12 @@
 /// True if this node may act as the holder, because no other node can hold the duty now.
 bool isHeld(const Lease &lease, const Now &now);
 
+/// An action as the holder, such as a call to the platform, begins or has ended: it was answered, or
+/// it cannot take effect any more. The lease is not revoked while an action is under way, because
+/// the action could take effect after those of the next holder.
+void onActionStarted(Lease &lease);
+void onActionEnded(Lease &lease);
+
 } // namespace chervil::duty
 
 #endif
--- a/packages/duty/LeaseTest.cpp
+++ b/packages/duty/LeaseTest.cpp
@@ -235,6 +235,26 @@
   BOOST_TEST(!s.Key.has_value());
 }
 
+// Guards against a call of a holder that stops which reaches the platform after those of the next
+// holder: the lease was revoked while the call was under way.
+BOOST_AUTO_TEST_CASE(LeaseIsKeptUntilActionsHaveEnded) {
+  FakeStore s;
+  Node n;
+  n.L.Options.Value = "n";
+  Now now{TimePoint(1000s), WallTime(0s)};
+  takeDuty(s, n, now);
+  onActionStarted(n.L);
+  onActionStarted(n.L);
+  n.L.Resigning = true;
+  BOOST_TEST(!nextCall(n.L, &*s.Key, true, now).has_value());
+  onActionEnded(n.L);
+  BOOST_TEST(!nextCall(n.L, &*s.Key, true, now).has_value());
+  onActionEnded(n.L);
+  const auto call = nextCall(n.L, &*s.Key, true, now);
+  BOOST_REQUIRE(call.has_value());
+  BOOST_TEST((call->Type == LeaseCall::Kind::End));
+}
+
 // Guards against a holder that other nodes cannot reach because its value is parsed wrongly.
 BOOST_AUTO_TEST_CASE(HolderValueRoundTrips) {
   const auto it = parseHolder(formatHolder({"n-1", 7, "10.0.0.1:9"}));
