duty, daemon: a call of the holder ends before its lease can expire

The comment at the bound said the opposite.

Change: actionTimeout() bounds each call by the rest of the lease less ActionOverrun (0.5 s: the timer of 0.2 s, and what is on its way when the call is given up). A holder whose renewals succeed keeps the bound of 1 s.

Price: none in time without a holder; a call in the last 0.9 s of a lease that is not renewed has less time, 0.4 s at least.

Tests: ActionsEndBeforeTheLeaseCanExpire and the model ActionsTakeEffectInTheOrderOfTheirHolders (nodes that stop, pause, are cut off or lose answers).

--- a/packages/daemon/edge/EdgeDuty.cpp
+++ b/packages/daemon/edge/EdgeDuty.cpp
@@ -119,6 +119,7 @@
 }
 
 void callAsHolder(Edge &edge, http::Call what, OnAnswer onAnswer) {
+  what.Timeout = std::min(what.Timeout, duty::actionTimeout(edge.Lease, net::readNow()));
   duty::onActionStarted(edge.Lease);
   callPlatform(edge, std::move(what),
                [&edge, onAnswer = std::move(onAnswer)](const PlatformAnswer &answer) {
--- a/packages/duty/Lease.cpp
+++ b/packages/duty/Lease.cpp
@@ -135,6 +135,11 @@
          now.Steady - lease.ConfirmedAt < lease.Options.Ttl - lease.Options.Margin;
 }
 
+std::chrono::milliseconds actionTimeout(const Lease &lease, const Now &now) {
+  const Duration left = lease.ConfirmedAt + lease.Options.Ttl - ActionOverrun - now.Steady;
+  return std::chrono::duration_cast<std::chrono::milliseconds>(left);
+}
+
 void onActionStarted(Lease &lease) { ++lease.OpenActions; }
 
 void onActionEnded(Lease &lease) {
--- a/packages/duty/Lease.h
+++ b/packages/duty/Lease.h
@@ -26,8 +26,8 @@
   std::string Value;
   /// Lifetime of the lease in the store after its creation or last renewal.
   std::chrono::milliseconds Ttl{3000};
-  /// The holder stops acting this long before the lease can expire in the store. Covers the latency
-  /// of a call and a pause between the check and the call.
+  /// The holder starts no action later than this before the lease can expire in the store. Longer
+  /// than ActionOverrun, and covers a pause between the check and the action.
   Duration Margin = std::chrono::milliseconds(900);
   /// Interval between renewals while the duty is held.
   Duration RenewPeriod = std::chrono::milliseconds(700);
@@ -112,6 +112,14 @@
 /// True if this node may act as the holder, because no other node can hold the duty now.
 bool isHeld(const Lease &lease, const Now &now);
 
+/// Time by which an action may outlive its bound: the timer that ends it is late, and what was sent
+/// before may still be on its way.
+inline constexpr Duration ActionOverrun = std::chrono::milliseconds(500);
+
+/// Bound on an action that begins now. With ActionOverrun it ends before the lease can expire in the
+/// store; positive while the duty is held.
+std::chrono::milliseconds actionTimeout(const Lease &lease, const Now &now);
+
 /// An action as the holder, such as a call to the platform, begins or has ended: it was answered, or
 /// it cannot take effect any more. The lease is not revoked while an action is under way, because
 /// the action could take effect after those of the next holder.
--- a/packages/duty/LeaseTest.cpp
+++ b/packages/duty/LeaseTest.cpp
@@ -31,6 +31,8 @@
 struct Node {
   duty::Lease L;
   bool Paused = false;
+  /// No call of the node reaches the store.
+  bool IsCutOff = false;
 };
 
 /// Executes a call; if `lost`, the answer is lost after the call took effect.
@@ -255,6 +257,81 @@
   BOOST_TEST((call->Type == LeaseCall::Kind::End));
 }
 
+// Guards against a call that is under way when the lease expires: it was bounded by 1 s, 0.9 s
+// before the end of the lease.
+BOOST_AUTO_TEST_CASE(ActionsEndBeforeTheLeaseCanExpire) {
+  FakeStore s;
+  Node n;
+  n.L.Options.Value = "n";
+  Now now{TimePoint(1000s), WallTime(0s)};
+  takeDuty(s, n, now);
+  const TimePoint end = s.Leases.at(n.L.LeaseId);
+  for (; isHeld(n.L, now); now.Steady += 100ms) {
+    BOOST_TEST((actionTimeout(n.L, now) > 0ms));
+    BOOST_TEST((now.Steady + actionTimeout(n.L, now) + ActionOverrun <= end));
+  }
+  BOOST_TEST((now.Steady - TimePoint(1000s) > 2s));
+}
+
+// Guards against an action that takes effect after one of a later holder, with nodes that stop, are
+// paused or lose answers: an action may take effect until its bound and ActionOverrun are over.
+BOOST_AUTO_TEST_CASE(ActionsTakeEffectInTheOrderOfTheirHolders) {
+  struct Action {
+    std::size_t Node = 0;
+    std::uint64_t Token = 0;
+    TimePoint Effect;
+  };
+  BOOST_TEST(rc::check([] {
+    Random rng(*rc::gen::arbitrary<std::uint64_t>());
+    const auto draw = [&](int n) { return std::uniform_int_distribution(0, n - 1)(rng); };
+    FakeStore s;
+    std::vector<Node> nodes(3);
+    std::vector<Action> actions;
+    std::uint64_t highest = 0;
+    Now now{TimePoint(1000s), WallTime(0s)};
+    for (int step = 0; step < 1500; ++step) {
+      now.Steady += 50ms;
+      s.expire(now.Steady);
+      std::erase_if(actions, [&](const Action &it) {
+        if (it.Effect > now.Steady)
+          return false;
+        RC_ASSERT(it.Token >= highest);
+        highest = it.Token;
+        onActionEnded(nodes[it.Node].L);
+        return true;
+      });
+      for (std::size_t i = 0; i < nodes.size(); ++i) {
+        Node &n = nodes[i];
+        n.Paused = draw(100) == 0 ? !n.Paused : n.Paused;
+        n.IsCutOff = draw(60) == 0 ? !n.IsCutOff : n.IsCutOff;
+        if (n.Paused)
+          continue;
+        if (n.L.Resigning && n.L.LeaseId == 0 && n.L.OpenActions == 0)
+          n.L = {};
+        n.L.Options.Value = "n" + std::to_string(i);
+        n.L.Resigning = n.L.Resigning || draw(200) == 0;
+        const store::Item *seen = s.Key ? &*s.Key : nullptr;
+        if (!n.IsCutOff)
+          onHolderRead(n.L, seen, now);
+        if (isHeld(n.L, now)) {
+          const Duration most = actionTimeout(n.L, now) + ActionOverrun;
+          const Duration taken = Duration(draw(static_cast<int>(most.count())));
+          actions.push_back({i, n.L.FencingToken, now.Steady + taken});
+          onActionStarted(n.L);
+        }
+        // Answers arrive within one step: a free duty is claimed in two calls.
+        for (int k = 0; k < 2; ++k) {
+          const auto call = nextCall(n.L, s.Key ? &*s.Key : nullptr, true, now);
+          if (call && (n.IsCutOff || draw(10) == 0))
+            onCallFailed(n.L, now);
+          else if (call)
+            serve(s, n, *call, now, draw(10) == 0);
+        }
+      }
+    }
+  }));
+}
+
 // Guards against a holder that other nodes cannot reach because its value is parsed wrongly.
 BOOST_AUTO_TEST_CASE(HolderValueRoundTrips) {
   const auto it = parseHolder(formatHolder({"n-1", 7, "10.0.0.1:9"}));
