--- a/packages/http/Client.cpp
+++ b/packages/http/Client.cpp
@@ -119,6 +119,8 @@
 void completeCall(ActiveCall &call) {
   Client &client = *call.Link->Owner;
   Connection &link = *call.Link;
+  if (call.What.ResetIfIncomplete)
+    setResetOnClose(link.Fd, false);
   const Duration idle = idleTimeOf(client, call.Reader->Head.Fields);
   if (!link.In.empty())
     ++client.Counters.TrailingBytes;
@@ -249,6 +251,10 @@
   readResponse(*c.Owner, c.CallId);
 }
 
+bool isOverdue(const ActiveCall &call, TimePoint at) {
+  return call.What.Timeout > Duration{0} && at - call.Started > call.What.Timeout;
+}
+
 void onWritable(Connection &c) {
   Client &client = *c.Owner;
   if (!c.Connected) {
@@ -342,7 +348,7 @@
   std::vector<std::pair<std::uint64_t, Failure>> late;
   for (const auto &[id, call] : client.Calls) {
     const Duration age = at - call->Started;
-    if (call->What.Timeout > Duration{0} && age > call->What.Timeout)
+    if (isOverdue(*call, at))
       late.emplace_back(id, call->Link != nullptr && call->Link->OutAt > 0 ? Failure::Timeout
                                                                            : Failure::NotSent);
     else if (call->Link != nullptr && !call->Link->Connected && age > call->What.ConnectTimeout)
@@ -413,6 +419,8 @@
     link->CallId = id;
     link->Out = requestText(call);
     link->OutAt = 0;
+    if (call.ResetIfIncomplete)
+      setResetOnClose(link->Fd, true);
     // Written from the loop; errors are reported there and not from within this call.
     ev_io_start(client.Loop->Raw.get(), &link->WriteWatcher);
   }
--- a/packages/http/Client.h
+++ b/packages/http/Client.h
@@ -38,6 +38,9 @@
   std::uint64_t MaxResponseBytes = DefaultMaxResponseBytes;
   /// False opens a new connection.
   bool ReuseConnection = true;
+  /// Resets the connection if the call does not complete, also when the process is killed.
+  /// Otherwise the kernel goes on to send unacknowledged bytes of the request after the close.
+  bool ResetIfIncomplete = false;
 };
 
 enum class Failure : std::uint8_t {
--- a/packages/http/ClientTest.cpp
+++ b/packages/http/ClientTest.cpp
@@ -156,6 +156,44 @@
   close(fd);
 }
 
+// Guards against a request that the kernel goes on to send after its call was given up: a server
+// that was out of reach then gets it late.
+BOOST_AUTO_TEST_CASE(IncompleteCallCanResetItsConnection) {
+  for (const bool resets : {true, false}) {
+    Fixture f;
+    f.call({}, {.Timeout = 100ms, .ResetIfIncomplete = resets});
+    const int fd = f.take();
+    BOOST_TEST(f.gets(fd, "body"));
+    BOOST_TEST(f.ends());
+    int error = 0;
+    BOOST_TEST(f.runUntil(
+        [&] {
+          char byte = 0;
+          const ssize_t n = recv(fd, &byte, 1, MSG_DONTWAIT);
+          error = n < 0 ? errno : 0;
+          return n == 0 || (n < 0 && errno != EAGAIN);
+        },
+        500ms));
+    BOOST_TEST((error == ECONNRESET) == resets);
+    close(fd);
+  }
+}
+
+// Guards against an idle connection that is reset, with answers that are still to be read.
+BOOST_AUTO_TEST_CASE(CompleteCallClosesItsConnectionInOrder) {
+  Fixture f;
+  f.call({}, {.ResetIfIncomplete = true});
+  const int fd = f.take();
+  BOOST_TEST(f.gets(fd, "body"));
+  sendText(fd, Answer);
+  BOOST_TEST(f.ends());
+  forgetAddress(*f.It, f.Address);
+  BOOST_TEST(f.runUntil([&] { return isClosed(fd); }, 500ms));
+  char byte = 0;
+  BOOST_TEST(recv(fd, &byte, 1, MSG_DONTWAIT) == 0);
+  close(fd);
+}
+
 // Guards against a cancelled call that the server goes on working for.
 BOOST_AUTO_TEST_CASE(CancelClosesTheConnection) {
   Fixture f;
--- a/packages/http/Socket.cpp
+++ b/packages/http/Socket.cpp
@@ -64,6 +64,10 @@
   return fd;
 }
 
+void setResetOnClose(int fd, bool resets) {
+  setOption(fd, SOL_SOCKET, SO_LINGER, linger{resets ? 1 : 0, 0});
+}
+
 IoState readSome(int fd, std::string &to) {
   static thread_local char buf[ReadSize];
   const ssize_t n = recv(fd, buf, sizeof(buf), 0);
--- a/packages/http/Socket.h
+++ b/packages/http/Socket.h
@@ -25,6 +25,9 @@
 /// Starts a non-blocking connection; -1 when no socket can be had.
 int connectTo(const sockaddr_in &address);
 
+/// Determines whether closing the socket resets the connection and discards unsent bytes.
+void setResetOnClose(int fd, bool resets);
+
 enum class IoState : std::uint8_t { Ok, Blocked, Ended, Failed };
 
 /// Appends what can be read now, up to a fixed amount per call.
