http: a request whose call is overdue is not begun to be sent

For calls of the duty that is a call of a holder whose lease is over; it was excused only as long as it arrived within thaw-ms. For requests to backend servers it is work whose caller has been answered.

Change: the bound of a call is checked before the first byte is written. Price in time without a holder: none.

Test: OverdueRequestIsNotSent failed before (the server got the request, the call ended with a timeout).

--- a/packages/http/Client.cpp
+++ b/packages/http/Client.cpp
@@ -257,6 +257,11 @@
 
 void onWritable(Connection &c) {
   Client &client = *c.Owner;
+  const auto call = client.Calls.find(c.CallId);
+  if (c.OutAt == 0 && call != client.Calls.end() && isOverdue(*call->second, now())) {
+    endCall(client, c.CallId, Failure::NotSent);
+    return;
+  }
   if (!c.Connected) {
     int error = 0;
     socklen_t n = sizeof(error);
--- a/packages/http/Client.h
+++ b/packages/http/Client.h
@@ -32,7 +32,8 @@
   RequestHead Head;
   std::string Body;
   std::chrono::milliseconds ConnectTimeout{1000};
-  /// Bound on the whole call; zero for none.
+  /// Bound on the whole call; zero for none. The request is not begun to be sent later, also by a
+  /// process that was suspended meanwhile.
   std::chrono::milliseconds Timeout{0};
   /// Bound on the body bytes that are read for the call, including those of skipped responses.
   std::uint64_t MaxResponseBytes = DefaultMaxResponseBytes;
--- a/packages/http/ClientTest.cpp
+++ b/packages/http/ClientTest.cpp
@@ -194,6 +194,19 @@
   close(fd);
 }
 
+// Guards against a request that is sent after the bound of its call, by a process that was
+// suspended between the decision and the write.
+BOOST_AUTO_TEST_CASE(OverdueRequestIsNotSent) {
+  Fixture f;
+  f.call({}, {.Timeout = 50ms});
+  usleep(100'000);
+  BOOST_TEST(f.ends());
+  BOOST_TEST((f.Ends[0].Failure == Failure::NotSent));
+  const int fd = accept(f.Listener, nullptr, nullptr);
+  BOOST_TEST(!f.runUntil([&] { return fd >= 0 && !receiveText(fd).empty(); }, 100ms));
+  close(fd);
+}
+
 // Guards against a cancelled call that the server goes on working for.
 BOOST_AUTO_TEST_CASE(CancelClosesTheConnection) {
   Fixture f;
