duty, daemon: a node does not take the duty back within a lease time of its last call

What the platform saw: A was cut off from the store for 3.4 s and lost the duty to B; B was stopped 0.6 s later, and A claimed the free duty and ordered 2.4 s after its last order: A, B, A inside lease-ms.

Cause: a free duty was claimed without regard to who had acted and when. Ruled out: late calls of A's first tenure (its tokens are in the record; the call that breaks the rule has the new token), and the order of the watchers, which is by name only.

Change: a claim writes, with the holder's key and on condition that it has not changed, a key without a lease that names the node. A node that reads another name there claims only a lease time after its last call could take effect (a call without an answer counts 0.5 s longer), or after the start of its process. If its own name stands there, or none, nobody else has acted since and it claims at once. Waiting is before the claim, so that other nodes, which stand in for 0.15 s each, take the duty meanwhile.

Price in time without a holder: none while another watcher may claim. If only nodes that held the duty lately are left, up to 3 s after the last call of the first of them; if all others are new processes, up to 3 s after their start.

--- a/packages/daemon/edge/DutyDetail.h
+++ b/packages/daemon/edge/DutyDetail.h
@@ -12,9 +12,11 @@
 
 namespace chervil::daemon::detail {
 
-// Own keys in the store. OwnItems mirrors the prefix of the first only: a watch returns at each
+// Own keys in the store. OwnItems mirrors the prefix of the first two only: a watch returns at each
 // change, and the others change every second.
 inline constexpr const char *HolderKey = "chervil/duty/holder";
+/// The node that last claimed the duty. It outlives HolderKey, which goes with its lease.
+inline constexpr const char *LastHolderKey = "chervil/duty/last";
 inline constexpr const char *RecordKey = "chervil/usage/last";
 inline constexpr const char *BookKey = "chervil/usage/counts";
 
--- a/packages/daemon/edge/Edge.cpp
+++ b/packages/daemon/edge/Edge.cpp
@@ -161,6 +161,8 @@
   KnownNodes = 2 * OtherSeeds + 1;
   Usage.Window = Settings.Edge.UsageWindow;
   Lease.Options.Ttl = Settings.Edge.DutyLease;
+  Lease.Options.Node = Settings.Node.Name;
+  Lease.QuietSince = now.Steady;
   Lease.Options.Value =
       duty::formatHolder({Settings.Node.Name, wallMs(now), Settings.Node.PeerAdvertise});
   Backends = http::makeClient(Loop, Timers, {});
--- a/packages/daemon/edge/EdgeDuty.cpp
+++ b/packages/daemon/edge/EdgeDuty.cpp
@@ -61,15 +61,30 @@
   }
 }
 
+const store::Item *ownItem(const Edge &edge, const char *key) {
+  const auto it = edge.OwnItems.Items.find(key);
+  return it == edge.OwnItems.Items.end() ? nullptr : &it->second;
+}
+
+std::optional<duty::LastHolder> lastHolder(const Edge &edge) {
+  const store::Item *item = ownItem(edge, LastHolderKey);
+  return item == nullptr ? std::nullopt : std::optional(duty::LastHolder{item->Value});
+}
+
+/// The answer names the revision of the last item written, which must be that of HolderKey.
+adapter::ConditionalWrite claimOf(const Edge &edge, std::uint64_t lease) {
+  const store::Item *last = ownItem(edge, LastHolderKey);
+  return {.Conditions = {{HolderKey, 0}, {LastHolderKey, last == nullptr ? 0 : last->Revision}},
+          .Writes = {{.Key = LastHolderKey, .Value = edge.Lease.Options.Node},
+                     {.Key = HolderKey, .Value = edge.Lease.Options.Value, .Lease = lease}}};
+}
+
 http::Call leaseCall(const Edge &edge, const duty::LeaseCall &what) {
   switch (what.Type) {
   case duty::LeaseCall::Kind::Create:
     return adapter::createLeaseCall(edge.Settings.Edge.StoreAddress, edge.Lease.Options.Ttl);
   case duty::LeaseCall::Kind::Claim:
-    return adapter::writeCall(edge.Settings.Edge.StoreAddress, {.Conditions = {{HolderKey, 0}},
-                                                                .Key = HolderKey,
-                                                                .Value = edge.Lease.Options.Value,
-                                                                .Lease = what.LeaseId});
+    return adapter::writeCall(edge.Settings.Edge.StoreAddress, claimOf(edge, what.LeaseId));
   case duty::LeaseCall::Kind::Renew:
     return adapter::renewLeaseCall(edge.Settings.Edge.StoreAddress, what.LeaseId);
   case duty::LeaseCall::Kind::End:
@@ -89,6 +104,8 @@
   }
   if (!edge.DutyFreeSince)
     edge.DutyFreeSince = now.Steady;
+  if (!duty::mayClaim(edge.Lease, lastHolder(edge), now))
+    return false;
   const auto before =
       std::distance(edge.Watchers.begin(), edge.Watchers.find(edge.Settings.Node.Name));
   return now.Steady - *edge.DutyFreeSince >= before * StandDelay;
@@ -121,19 +138,16 @@
 void callAsHolder(Edge &edge, http::Call what, OnAnswer onAnswer) {
   what.Timeout = std::min(what.Timeout, duty::actionTimeout(edge.Lease, net::readNow()));
   duty::onActionStarted(edge.Lease);
-  callPlatform(edge, std::move(what),
-               [&edge, onAnswer = std::move(onAnswer)](const PlatformAnswer &answer) {
-                 duty::onActionEnded(edge.Lease);
-                 onAnswer(answer);
-                 if (edge.Lease.Resigning)
-                   tickLease(edge);
-               });
+  callPlatform(
+      edge, std::move(what), [&edge, onAnswer = std::move(onAnswer)](const PlatformAnswer &answer) {
+        duty::onActionEnded(edge.Lease, answer.Failure == http::Failure::None, net::readNow());
+        onAnswer(answer);
+        if (edge.Lease.Resigning)
+          tickLease(edge);
+      });
 }
 
-const store::Item *holderItem(const Edge &edge) {
-  const auto it = edge.OwnItems.Items.find(HolderKey);
-  return it == edge.OwnItems.Items.end() ? nullptr : &it->second;
-}
+const store::Item *holderItem(const Edge &edge) { return ownItem(edge, HolderKey); }
 
 void tickDuty(Edge &edge) {
   if (edge.Stopping)
--- a/packages/daemon/edge/EdgeDutyTest.cpp
+++ b/packages/daemon/edge/EdgeDutyTest.cpp
@@ -74,4 +74,21 @@
   }
 }
 
+// Guards against a node that takes the duty back within the lease time although another one has
+// held it: a started process cannot know when an earlier one of its node acted last.
+BOOST_AUTO_TEST_CASE(StartedNodeWaitsIfAnotherHeldTheDutyLast) {
+  DutyFixture f;
+  const char *last = "chervil/duty/last";
+  const auto isHeld = [&] { return f.Store.Items.contains("chervil/duty/holder"); };
+  f.Store.Items[last] = {"other", ++f.Store.Revision};
+  const TimePoint started = f.Node->Lease.QuietSince;
+  BOOST_TEST(f.runUntil(isHeld, 6000ms));
+  BOOST_TEST((net::readNow().Steady - started >= f.Node->Lease.Options.Ttl));
+  BOOST_TEST(f.Store.Items.at(last).first == "n1");
+  // A free duty that this node held last is claimed at once.
+  f.Store.endLease(f.Store.CreatedLeases);
+  BOOST_TEST(f.runUntil([&] { return !isHeld(); }, 1000ms));
+  BOOST_TEST(f.runUntil([&] { return f.Store.CreatedLeases == 2; }, 2500ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/daemon/edge/EdgeUsage.cpp
+++ b/packages/daemon/edge/EdgeUsage.cpp
@@ -63,8 +63,7 @@
   edge.BookBusy = true;
   adapter::ConditionalWrite write;
   write.Conditions = {{HolderKey, edge.Lease.KeyRevision}};
-  write.Key = BookKey;
-  write.Value = adapter::encodeReport(report);
+  write.Writes = {{.Key = BookKey, .Value = adapter::encodeReport(report)}};
   callPlatform(edge, adapter::writeCall(edge.Settings.Edge.StoreAddress, write),
                [&edge](const PlatformAnswer &answer) {
                  edge.BookBusy = false;
@@ -100,8 +99,8 @@
 void record(Edge &edge, const duty::UsageStep &step) {
   adapter::ConditionalWrite write;
   write.Conditions = {{HolderKey, edge.Lease.KeyRevision}, {RecordKey, step.ExpectedRevision}};
-  write.Key = RecordKey;
-  write.Value = adapter::encodeRecord({step.Window, step.Counts, edge.StoreEra});
+  write.Writes = {{.Key = RecordKey,
+                   .Value = adapter::encodeRecord({step.Window, step.Counts, edge.StoreEra})}};
   callPlatform(edge, adapter::writeCall(edge.Settings.Edge.StoreAddress, write),
                [&edge, step, era = edge.StoreEra](const PlatformAnswer &answer) {
                  const auto revision = answer.Status == 200 && isSameEra(edge.StoreEra, era)
--- a/packages/duty/Lease.cpp
+++ b/packages/duty/Lease.cpp
@@ -1,5 +1,7 @@
 #include "duty/Lease.h"
 
+#include <algorithm>
+
 namespace chervil::duty {
 namespace {
 
@@ -29,6 +31,11 @@
   return lease.PendingCall;
 }
 
+/// True if no action of this node can take effect any more.
+bool isQuiet(const Lease &lease, const Now &now) {
+  return lease.OpenActions == 0 && now.Steady >= lease.QuietSince;
+}
+
 } // namespace
 
 std::uint64_t fencingToken(const store::Position &created) {
@@ -37,7 +44,14 @@
   return (created.Era << revisionBits) + created.Revision;
 }
 
-std::optional<LeaseCall> nextCall(Lease &lease, const store::Item *holder, bool mayClaim,
+bool mayClaim(const Lease &lease, const std::optional<LastHolder> &last, const Now &now) {
+  if (!isQuiet(lease, now))
+    return false;
+  const bool isAlternation = last && last->Node != lease.Options.Node;
+  return !isAlternation || now.Steady >= lease.QuietSince + lease.Options.Ttl;
+}
+
+std::optional<LeaseCall> nextCall(Lease &lease, const store::Item *holder, bool isCandidate,
                                   const Now &now) {
   if (lease.PendingCall)
     return std::nullopt;
@@ -50,7 +64,7 @@
   if (lease.IsUnverified)
     return std::nullopt;
   if (lease.Resigning) {
-    if (lease.LeaseId == 0 || lease.OpenActions > 0)
+    if (lease.LeaseId == 0 || !isQuiet(lease, now))
       return std::nullopt;
     return beginCall(lease, LeaseCall::Kind::End, now);
   }
@@ -58,7 +72,7 @@
     return std::nullopt;
   if (lease.FencingToken != 0)
     return beginCall(lease, LeaseCall::Kind::Renew, now);
-  if (holder != nullptr || !mayClaim)
+  if (holder != nullptr || !isCandidate)
     return std::nullopt;
   return beginCall(lease, lease.LeaseId == 0 ? LeaseCall::Kind::Create : LeaseCall::Kind::Claim,
                    now);
@@ -142,9 +156,11 @@
 
 void onActionStarted(Lease &lease) { ++lease.OpenActions; }
 
-void onActionEnded(Lease &lease) {
+void onActionEnded(Lease &lease, bool isAnswered, const Now &now) {
   if (lease.OpenActions > 0)
     --lease.OpenActions;
+  const TimePoint end = isAnswered ? now.Steady : now.Steady + ActionOverrun;
+  lease.QuietSince = std::max(lease.QuietSince, end);
 }
 
 } // namespace chervil::duty
--- a/packages/duty/Lease.h
+++ b/packages/duty/Lease.h
@@ -1,6 +1,7 @@
 // Leader election for a duty, a task that one node performs at a time: the holder keeps a key with
 // a lease in the platform's store. Usage:
-//   if (auto call = nextCall(lease, holder, true, now)) start(*call);   // on each tick and result
+//   const bool may = mayClaim(lease, lastHolder, now);
+//   if (auto call = nextCall(lease, holder, may, now)) start(*call);   // on each tick and result
 //   if (isHeld(lease, now)) {
 //     onActionStarted(lease);
 //     act(lease.FencingToken, actionTimeout(lease, now));   // ends with onActionEnded()
@@ -22,6 +23,8 @@
 
 /// Settings of a lease.
 struct LeaseOptions {
+  /// Name of this node, the same for each start.
+  std::string Node;
   /// Value of the key while this node holds it; unique for each start of the node.
   std::string Value;
   /// Lifetime of the lease in the store after its creation or last renewal.
@@ -38,7 +41,9 @@
   enum class Kind : std::uint8_t {
     /// Create a lease with lifetime Options.Ttl.
     Create,
-    /// Write the key, attached to the lease, if it does not exist.
+    /// Write the key, attached to the lease, and LastHolder, if the key does not exist and
+    /// LastHolder
+    /// has not changed since it was read.
     Claim,
     /// Renew the lease.
     Renew,
@@ -76,16 +81,30 @@
   bool Resigning = false;
   /// Actions of this node as the holder that have not ended.
   unsigned OpenActions = 0;
+  /// No action of this node under an earlier token takes effect after this time. Initially the
+  /// start of the process, since an earlier process of the node may have acted until then.
+  TimePoint QuietSince{};
+};
+
+/// The node that last claimed the duty, as the store keeps it without a lease.
+struct LastHolder {
+  std::string Node;
 };
 
 /// Returns the fencing token of the holder whose key was created at this position. It increases
 /// with each holder, also when the store gives revisions out again.
 std::uint64_t fencingToken(const store::Position &created);
 
+/// True if this node may claim a duty without a holder, as far as its own earlier actions go. If
+/// another node has held the duty since, this one may not act again within Ttl of its last action:
+/// the platform rejects holders that alternate so fast. `last` is absent if no node has ever held
+/// the duty.
+bool mayClaim(const Lease &lease, const std::optional<LastHolder> &last, const Now &now);
+
 /// Returns the next call if one is due; it is pending until one of the functions below is called.
-/// `holder` is the key as last read, nullptr if it does not exist. `mayClaim` is true if this node
-/// may claim a duty without a holder now.
-std::optional<LeaseCall> nextCall(Lease &lease, const store::Item *holder, bool mayClaim,
+/// `holder` is the key as last read, nullptr if it does not exist. `isCandidate` is true if this
+/// node may claim a duty without a holder now.
+std::optional<LeaseCall> nextCall(Lease &lease, const store::Item *holder, bool isCandidate,
                                   const Now &now);
 
 /// Results of the pending call.
@@ -116,15 +135,15 @@
 /// before may still be on its way.
 inline constexpr Duration ActionOverrun = std::chrono::milliseconds(500);
 
-/// Bound on an action that begins now. With ActionOverrun it ends before the lease can expire in the
-/// store; positive while the duty is held.
+/// Bound on an action that begins now. With ActionOverrun it ends before the lease can expire in
+/// the store; positive while the duty is held.
 std::chrono::milliseconds actionTimeout(const Lease &lease, const Now &now);
 
-/// An action as the holder, such as a call to the platform, begins or has ended: it was answered, or
-/// it cannot take effect any more. The lease is not revoked while an action is under way, because
-/// the action could take effect after those of the next holder.
+/// An action as the holder, such as a call to the platform, begins or has ended. One without an
+/// answer may still take effect until ActionOverrun has passed. The lease is not revoked while an
+/// action may take effect, because that could be after those of the next holder.
 void onActionStarted(Lease &lease);
-void onActionEnded(Lease &lease);
+void onActionEnded(Lease &lease, bool isAnswered, const Now &now);
 
 } // namespace chervil::duty
 
--- a/packages/duty/LeaseTest.cpp
+++ b/packages/duty/LeaseTest.cpp
@@ -12,12 +12,15 @@
 
 namespace {
 
-/// Model of the store with one key that may be attached to a lease.
+/// Model of the store with one key that may be attached to a lease, and the node that last wrote
+/// it.
 struct FakeStore {
   std::uint64_t Revision = 1;
   std::uint64_t NextLease = 1;
   std::map<std::uint64_t, TimePoint> Leases;
   std::optional<store::Item> Key;
+  std::optional<LastHolder> Last;
+  std::uint64_t LastRevision = 0;
 
   void expire(TimePoint now) {
     std::erase_if(Leases, [&](const auto &it) { return it.second <= now; });
@@ -33,8 +36,21 @@
   bool Paused = false;
   /// No call of the node reaches the store.
   bool IsCutOff = false;
+  /// What it has read of the store.
+  std::optional<store::Item> Key;
+  std::optional<LastHolder> Last;
+  std::uint64_t LastRevision = 0;
+
+  const store::Item *seenKey() const { return Key ? &*Key : nullptr; }
 };
 
+/// Reads the store as the watch of a node does.
+void read(const FakeStore &s, Node &n) {
+  n.Key = s.Key;
+  n.Last = s.Last;
+  n.LastRevision = s.LastRevision;
+}
+
 /// Executes a call; if `lost`, the answer is lost after the call took effect.
 void serve(FakeStore &s, Node &n, const LeaseCall &call, const Now &now, bool lost) {
   s.expire(now.Steady);
@@ -49,9 +65,11 @@
     break;
   case LeaseCall::Kind::Claim:
     found = s.Leases.contains(call.LeaseId);
-    if (found && !s.Key) {
+    if (found && !s.Key && n.LastRevision == s.LastRevision) {
       result = ++s.Revision;
       s.Key = store::Item{"k", n.L.Options.Value, result, result, call.LeaseId};
+      s.Last = LastHolder{n.L.Options.Node};
+      s.LastRevision = result;
     }
     if (!lost && !found)
       onLeaseNotFound(n.L, now);
@@ -82,6 +100,7 @@
 
 /// Lets the node create its lease and claim the free duty.
 void takeDuty(FakeStore &s, Node &n, const Now &now) {
+  read(s, n);
   for (int i = 0; i < 3; ++i)
     if (const auto call = nextCall(n.L, s.Key ? &*s.Key : nullptr, true, now))
       serve(s, n, *call, now, false);
@@ -122,9 +141,9 @@
         }
         if (n.Paused)
           continue;
-        const store::Item *seen = s.Key ? &*s.Key : nullptr;
-        onHolderRead(n.L, seen, now);
-        const auto call = nextCall(n.L, seen, true, now);
+        read(s, n);
+        onHolderRead(n.L, n.seenKey(), now);
+        const auto call = nextCall(n.L, n.seenKey(), true, now);
         if (!call)
           continue;
         const int luck = draw(10);
@@ -182,8 +201,8 @@
           highest = n.L.FencingToken;
           RC_ASSERT(tokens.emplace(n.L.FencingToken, i).first->second == i);
         }
-        const store::Item *seen = s.Key ? &*s.Key : nullptr;
-        onHolderRead(n.L, seen, now);
+        read(s, n);
+        onHolderRead(n.L, n.seenKey(), now);
         if (draw(200) == 0) {
           // The node starts anew, and its value tells the starts apart.
           n.L = {};
@@ -191,7 +210,7 @@
           n.L.Options.Value = "n" + std::to_string(i) + "/" + std::to_string(step);
         }
         n.L.Resigning = n.L.Resigning || draw(200) == 0;
-        if (const auto call = nextCall(n.L, seen, true, now))
+        if (const auto call = nextCall(n.L, n.seenKey(), true, now))
           serve(s, n, *call, now, draw(10) == 0);
       }
       RC_ASSERT(holders <= 1U);
@@ -249,9 +268,9 @@
   onActionStarted(n.L);
   n.L.Resigning = true;
   BOOST_TEST(!nextCall(n.L, &*s.Key, true, now).has_value());
-  onActionEnded(n.L);
+  onActionEnded(n.L, true, now);
   BOOST_TEST(!nextCall(n.L, &*s.Key, true, now).has_value());
-  onActionEnded(n.L);
+  onActionEnded(n.L, true, now);
   const auto call = nextCall(n.L, &*s.Key, true, now);
   BOOST_REQUIRE(call.has_value());
   BOOST_TEST((call->Type == LeaseCall::Kind::End));
@@ -273,55 +292,116 @@
   BOOST_TEST((now.Steady - TimePoint(1000s) > 2s));
 }
 
-// Guards against an action that takes effect after one of a later holder, with nodes that stop, are
-// paused or lose answers: an action may take effect until its bound and ActionOverrun are over.
-BOOST_AUTO_TEST_CASE(ActionsTakeEffectInTheOrderOfTheirHolders) {
+// Guards against a node that acts again within the lease time although another has acted since.
+BOOST_AUTO_TEST_CASE(DutyIsNotTakenBackWithinALeaseTime) {
+  Lease lease;
+  lease.Options.Node = "a";
+  Now now{TimePoint(1000s), WallTime(0s)};
+  lease.QuietSince = now.Steady;
+  BOOST_TEST(mayClaim(lease, std::nullopt, now));
+  BOOST_TEST(mayClaim(lease, LastHolder{"a"}, now));
+  // An earlier process of the node may have acted just before this one started.
+  BOOST_TEST(!mayClaim(lease, LastHolder{"b"}, now));
+  now.Steady += 3s;
+  BOOST_TEST(mayClaim(lease, LastHolder{"b"}, now));
+  onActionStarted(lease);
+  now.Steady += 1s;
+  BOOST_TEST(!mayClaim(lease, LastHolder{"a"}, now));
+  onActionEnded(lease, true, now);
+  BOOST_TEST(mayClaim(lease, LastHolder{"a"}, now));
+  now.Steady += 2900ms;
+  BOOST_TEST(!mayClaim(lease, LastHolder{"b"}, now));
+  now.Steady += 100ms;
+  BOOST_TEST(mayClaim(lease, LastHolder{"b"}, now));
+  onActionStarted(lease);
+  onActionEnded(lease, false, now);
+  now.Steady += 3400ms;
+  BOOST_TEST(!mayClaim(lease, LastHolder{"b"}, now));
+  now.Steady += 100ms;
+  BOOST_TEST(mayClaim(lease, LastHolder{"b"}, now));
+}
+
+/// The platform: sees when actions take effect.
+struct FakePlatform {
   struct Action {
     std::size_t Node = 0;
     std::uint64_t Token = 0;
     TimePoint Effect;
   };
+  std::vector<Action> Actions;
+  std::uint64_t HighestToken = 0;
+  std::map<std::size_t, TimePoint> LastEffect;
+  /// By node: its last effect before the latest one of another node.
+  std::map<std::size_t, TimePoint> LastBeforeOther;
+  std::size_t Effects = 0;
+
+  void take(const Action &it) {
+    ++Effects;
+    RC_ASSERT(it.Token >= HighestToken);
+    HighestToken = it.Token;
+    if (const auto own = LastBeforeOther.find(it.Node); own != LastBeforeOther.end())
+      RC_ASSERT(it.Effect - own->second >= LeaseOptions{}.Ttl);
+    for (const auto &[node, at] : LastEffect)
+      if (node != it.Node)
+        LastBeforeOther[node] = at;
+    LastEffect[it.Node] = it.Effect;
+  }
+};
+
+// Guards against an action that takes effect after one of a later holder, and against a node that
+// acts within a lease time of its last action although another one has acted between: with nodes
+// that stop, are killed, paused or cut off from the store, and with lost answers. An action may
+// take effect until its bound and ActionOverrun are over.
+BOOST_AUTO_TEST_CASE(ActionsOfHoldersAreInOrder) {
   BOOST_TEST(rc::check([] {
     Random rng(*rc::gen::arbitrary<std::uint64_t>());
     const auto draw = [&](int n) { return std::uniform_int_distribution(0, n - 1)(rng); };
     FakeStore s;
+    FakePlatform platform;
     std::vector<Node> nodes(3);
-    std::vector<Action> actions;
-    std::uint64_t highest = 0;
     Now now{TimePoint(1000s), WallTime(0s)};
+    const auto restart = [&](std::size_t i) {
+      nodes[i].L = {};
+      nodes[i].L.Options.Node = "n" + std::to_string(i);
+      nodes[i].L.Options.Value =
+          nodes[i].L.Options.Node + "/" + std::to_string(now.Steady.time_since_epoch().count());
+      nodes[i].L.QuietSince = now.Steady;
+      std::erase_if(platform.Actions, [&](const auto &it) { return it.Node == i; });
+    };
+    for (std::size_t i = 0; i < nodes.size(); ++i)
+      restart(i);
     for (int step = 0; step < 1500; ++step) {
       now.Steady += 50ms;
       s.expire(now.Steady);
-      std::erase_if(actions, [&](const Action &it) {
+      std::erase_if(platform.Actions, [&](const auto &it) {
         if (it.Effect > now.Steady)
           return false;
-        RC_ASSERT(it.Token >= highest);
-        highest = it.Token;
-        onActionEnded(nodes[it.Node].L);
+        platform.take(it);
+        onActionEnded(nodes[it.Node].L, draw(5) > 0, now);
         return true;
       });
       for (std::size_t i = 0; i < nodes.size(); ++i) {
         Node &n = nodes[i];
         n.Paused = draw(100) == 0 ? !n.Paused : n.Paused;
         n.IsCutOff = draw(60) == 0 ? !n.IsCutOff : n.IsCutOff;
+        if (draw(200) == 0 || (n.L.Resigning && n.L.LeaseId == 0))
+          restart(i);
         if (n.Paused)
           continue;
-        if (n.L.Resigning && n.L.LeaseId == 0 && n.L.OpenActions == 0)
-          n.L = {};
-        n.L.Options.Value = "n" + std::to_string(i);
-        n.L.Resigning = n.L.Resigning || draw(200) == 0;
-        const store::Item *seen = s.Key ? &*s.Key : nullptr;
-        if (!n.IsCutOff)
-          onHolderRead(n.L, seen, now);
+        n.L.Resigning = n.L.Resigning || draw(100) == 0;
+        if (!n.IsCutOff) {
+          read(s, n);
+          onHolderRead(n.L, n.seenKey(), now);
+        }
         if (isHeld(n.L, now)) {
           const Duration most = actionTimeout(n.L, now) + ActionOverrun;
           const Duration taken = Duration(draw(static_cast<int>(most.count())));
-          actions.push_back({i, n.L.FencingToken, now.Steady + taken});
+          platform.Actions.push_back({i, n.L.FencingToken, now.Steady + taken});
           onActionStarted(n.L);
         }
         // Answers arrive within one step: a free duty is claimed in two calls.
         for (int k = 0; k < 2; ++k) {
-          const auto call = nextCall(n.L, s.Key ? &*s.Key : nullptr, true, now);
+          const auto call = nextCall(n.L, n.seenKey(), mayClaim(n.L, n.Last, now), now);
           if (call && (n.IsCutOff || draw(10) == 0))
             onCallFailed(n.L, now);
           else if (call)
@@ -329,6 +409,7 @@
         }
       }
     }
+    RC_ASSERT(platform.Effects > 100U);
   }));
 }
 
