duty, daemon: no node takes a free duty right after the store has come back from an older copy

The holder of before acts until it learns of the return, up to a period of renewal later, or until its lease would have ended; the copy may lack its key, and any node that saw the key missing claimed the duty at once: two holders, and calls of the older one behind those of the newer.

Change: the key that names the last holder names the era of its claim, too. A node that learns of a later era than the one there claims only a lease time after that, and a claim from before the return that the store executes after it acts no sooner. A holder whose key is in the copy goes on at once, as before.

Logged: claim_deferred, with the last holder, its era and the ages that decided it.

Tests, which failed before (each rule taken out): FreeDutyIsNotClaimedSoonAfterARestore with a whole node, ClaimOfAnEarlierEraDoesNotActAtOnce, and the model ActionsOfHoldersAreInOrder, which now plays returns at any moment and claims that are executed late.

--- a/packages/daemon/edge/Edge.h
+++ b/packages/daemon/edge/Edge.h
@@ -108,6 +108,8 @@
   TimePoint NextOrders{};
   /// Since when no node has held the duty.
   std::optional<TimePoint> DutyFreeSince;
+  /// The duty is free, and this node may not claim it yet; see duty::mayClaim().
+  bool ClaimDeferred = false;
   TimePoint NextUsageReport{};
   /// The counts that an earlier holder left in the store have been read.
   bool BookKnown = false;
--- a/packages/daemon/edge/EdgeDuty.cpp
+++ b/packages/daemon/edge/EdgeDuty.cpp
@@ -66,16 +66,21 @@
   return it == edge.OwnItems.Items.end() ? nullptr : &it->second;
 }
 
+std::int64_t millisecondsSince(TimePoint at, const Now &now) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now.Steady - at).count();
+}
+
 std::optional<duty::LastHolder> lastHolder(const Edge &edge) {
   const store::Item *item = ownItem(edge, LastHolderKey);
-  return item == nullptr ? std::nullopt : std::optional(duty::LastHolder{item->Value});
+  return item == nullptr ? std::nullopt : std::optional(duty::parseLastHolder(item->Value));
 }
 
 /// The answer names the revision of the last item written, which must be that of HolderKey.
 adapter::ConditionalWrite claimOf(const Edge &edge, std::uint64_t lease) {
   const store::Item *last = ownItem(edge, LastHolderKey);
   return {.Conditions = {{HolderKey, 0}, {LastHolderKey, last == nullptr ? 0 : last->Revision}},
-          .Writes = {{.Key = LastHolderKey, .Value = edge.Lease.Options.Node},
+          .Writes = {{.Key = LastHolderKey,
+                      .Value = duty::formatLastHolder({edge.Lease.Options.Node, edge.StoreEra})},
                      {.Key = HolderKey, .Value = edge.Lease.Options.Value, .Lease = lease}}};
 }
 
@@ -93,6 +98,22 @@
   return adapter::endLeaseCall(edge.Settings.Edge.StoreAddress, what.LeaseId);
 }
 
+/// As duty::mayClaim(); logs when the node begins to wait.
+bool mayClaimNow(Edge &edge, const Now &now) {
+  const auto last = lastHolder(edge);
+  const bool may = duty::mayClaim(edge.Lease, last, now);
+  if (!may && !edge.ClaimDeferred)
+    logLine(edge, "duty", "claim_deferred",
+            {{"last_holder", last ? last->Node : ""},
+             {"last_era", std::to_string(last ? last->Era : 0)},
+             {"era", std::to_string(edge.Lease.Era)},
+             {"era_age_ms", std::to_string(millisecondsSince(edge.Lease.EraSince, now))},
+             {"quiet_ms", std::to_string(millisecondsSince(edge.Lease.QuietSince, now))},
+             {"open_calls", std::to_string(edge.Lease.OpenActions)}});
+  edge.ClaimDeferred = !may;
+  return may;
+}
+
 /// True once the duty has been free for this node's turn.
 bool mayStand(Edge &edge, const Now &now) {
   if (edge.IsLeaving || !isWatcher(edge) || !isConnected(edge.OwnItems, now) ||
@@ -104,7 +125,7 @@
   }
   if (!edge.DutyFreeSince)
     edge.DutyFreeSince = now.Steady;
-  if (!duty::mayClaim(edge.Lease, lastHolder(edge), now))
+  if (!mayClaimNow(edge, now))
     return false;
   const auto before =
       std::distance(edge.Watchers.begin(), edge.Watchers.find(edge.Settings.Node.Name));
--- a/packages/daemon/edge/EdgeDutyTest.cpp
+++ b/packages/daemon/edge/EdgeDutyTest.cpp
@@ -80,15 +80,32 @@
   DutyFixture f;
   const char *last = "chervil/duty/last";
   const auto isHeld = [&] { return f.Store.Items.contains("chervil/duty/holder"); };
-  f.Store.Items[last] = {"other", ++f.Store.Revision};
+  f.Store.Items[last] = {"other 1", ++f.Store.Revision};
   const TimePoint started = f.Node->Lease.QuietSince;
   BOOST_TEST(f.runUntil(isHeld, 6000ms));
   BOOST_TEST((net::readNow().Steady - started >= f.Node->Lease.Options.Ttl));
-  BOOST_TEST(f.Store.Items.at(last).first == "n1");
+  BOOST_TEST(f.Store.Items.at(last).first == "n1 1");
   // A free duty that this node held last is claimed at once.
   f.Store.endLease(f.Store.CreatedLeases);
   BOOST_TEST(f.runUntil([&] { return !isHeld(); }, 1000ms));
   BOOST_TEST(f.runUntil([&] { return f.Store.CreatedLeases == 2; }, 2500ms));
 }
 
+// Guards against a second holder after the store has come back from an older copy: the holder of
+// before acts until it learns of the return, and the copy may lack its key.
+BOOST_AUTO_TEST_CASE(FreeDutyIsNotClaimedSoonAfterARestore) {
+  DutyFixture f;
+  const char *holder = "chervil/duty/holder";
+  f.Store.Items[holder] = {"other 1 127.0.0.1:1", ++f.Store.Revision};
+  f.Store.Items["chervil/duty/last"] = {"n1 1", ++f.Store.Revision};
+  BOOST_TEST(f.runUntil([&] { return f.Node->OwnItems.Items.contains(holder); }, 2000ms));
+  auto copy = f.Store.Items;
+  copy.erase(holder);
+  f.Store.restore(copy, 1);
+  BOOST_TEST(f.runUntil([&] { return f.Node->StoreEra == 2; }, 2000ms));
+  const TimePoint learned = net::readNow().Steady;
+  BOOST_TEST(f.runUntil([&] { return f.Store.Items.contains(holder); }, 6000ms));
+  BOOST_TEST((net::readNow().Steady - learned >= f.Node->Lease.Options.Ttl - 100ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/daemon/edge/EdgeStore.cpp
+++ b/packages/daemon/edge/EdgeStore.cpp
@@ -207,7 +207,7 @@
     restartWatch(edge, *it);
     store::onRestored(*it, edge.StoreEra, now);
   }
-  duty::onStoreRestored(edge.Lease, edge.StoreEra);
+  duty::onStoreRestored(edge.Lease, edge.StoreEra, now);
   duty::onStoreRestored(edge.Posting, edge.StoreEra, duty::filteredTime(edge.Clock, now));
 }
 
--- a/packages/duty/Holder.cpp
+++ b/packages/duty/Holder.cpp
@@ -16,4 +16,15 @@
   return out;
 }
 
+std::string formatLastHolder(const LastHolder &holder) {
+  return holder.Node + " " + std::to_string(holder.Era);
+}
+
+LastHolder parseLastHolder(std::string_view value) {
+  std::istringstream in{std::string(value)};
+  LastHolder out;
+  in >> out.Node >> out.Era;
+  return out;
+}
+
 } // namespace chervil::duty
--- a/packages/duty/Lease.cpp
+++ b/packages/duty/Lease.cpp
@@ -7,6 +7,8 @@
 
 using namespace std::chrono_literals;
 
+// Number of the first era of a store.
+constexpr std::uint64_t FirstEra = 1;
 // Delay after a failed or rejected call.
 constexpr Duration RetryDelay = 300ms;
 // Delay after a claim without an answer. The claim may still take effect, so the node waits until
@@ -18,6 +20,7 @@
   lease.KeyRevision = 0;
   lease.FencingToken = 0;
   lease.IsUnverified = false;
+  lease.ActFrom = {};
 }
 
 void setHeld(Lease &lease, std::uint64_t keyRevision) {
@@ -28,6 +31,8 @@
 std::optional<LeaseCall> beginCall(Lease &lease, LeaseCall::Kind what, const Now &now) {
   lease.PendingCall = LeaseCall{what, lease.LeaseId};
   lease.SentAt = now.Steady;
+  if (what == LeaseCall::Kind::Claim)
+    lease.ClaimEra = lease.Era;
   return lease.PendingCall;
 }
 
@@ -47,6 +52,9 @@
 bool mayClaim(const Lease &lease, const std::optional<LastHolder> &last, const Now &now) {
   if (!isQuiet(lease, now))
     return false;
+  const bool isClaimedInEra = last ? last->Era == lease.Era : lease.Era <= FirstEra;
+  if (!isClaimedInEra && now.Steady < lease.EraSince + lease.Options.Ttl)
+    return false;
   const bool isAlternation = last && last->Node != lease.Options.Node;
   return !isAlternation || now.Steady >= lease.QuietSince + lease.Options.Ttl;
 }
@@ -119,11 +127,12 @@
   lease.NextCall = now.Steady + (wasClaim ? UnknownClaimDelay : RetryDelay);
 }
 
-void onStoreRestored(Lease &lease, std::uint64_t era) {
+void onStoreRestored(Lease &lease, std::uint64_t era, const Now &now) {
   if (era <= lease.Era)
     return;
   lease.IsUnverified = lease.LeaseId != 0;
   lease.Era = era;
+  lease.EraSince = now.Steady;
 }
 
 void onHolderRead(Lease &lease, const store::Item *holder, const Now &now) {
@@ -139,6 +148,9 @@
   if (isOwn && lease.FencingToken == 0 && !lease.PendingCall) {
     setHeld(lease, holder->Created);
     lease.NextCall = now.Steady;
+    // The store executed the claim after its return: what mayClaim() waits for is still to come.
+    if (lease.ClaimEra != lease.Era)
+      lease.ActFrom = lease.EraSince + lease.Options.Ttl;
   }
   if (!isOwn && holder != nullptr && lease.FencingToken != 0 && holder->Created > lease.KeyRevision)
     clearLease(lease);
@@ -146,6 +158,7 @@
 
 bool isHeld(const Lease &lease, const Now &now) {
   return lease.FencingToken != 0 && !lease.IsUnverified && !lease.Resigning &&
+         now.Steady >= lease.ActFrom &&
          now.Steady - lease.ConfirmedAt < lease.Options.Ttl - lease.Options.Margin;
 }
 
--- a/packages/duty/Lease.h
+++ b/packages/duty/Lease.h
@@ -12,6 +12,7 @@
 #define CHERVIL_DUTY_LEASE_H
 
 #include "base/Time.h"
+#include "duty/Holder.h"
 #include "store/Item.h"
 
 #include <chrono>
@@ -64,8 +65,13 @@
   std::uint64_t KeyRevision = 0;
   /// See fencingToken(); 0 if the duty is not held.
   std::uint64_t FencingToken = 0;
-  /// Era of the store; see store::Position.
+  /// Era of the store, and when this node learned of it; see store::Position.
   std::uint64_t Era = 0;
+  TimePoint EraSince{};
+  /// Era in which the last claim was sent.
+  std::uint64_t ClaimEra = 0;
+  /// The node does not act before this time although it has the key.
+  TimePoint ActFrom{};
   /// The store has come back from an older copy since the key was last read or written. The lease
   /// may be gone, and its number may have been given to another node.
   bool IsUnverified = false;
@@ -86,19 +92,16 @@
   TimePoint QuietSince{};
 };
 
-/// The node that last claimed the duty, as the store keeps it without a lease.
-struct LastHolder {
-  std::string Node;
-};
-
 /// Returns the fencing token of the holder whose key was created at this position. It increases
 /// with each holder, also when the store gives revisions out again.
 std::uint64_t fencingToken(const store::Position &created);
 
 /// True if this node may claim a duty without a holder, as far as its own earlier actions go. If
 /// another node has held the duty since, this one may not act again within Ttl of its last action:
-/// the platform rejects holders that alternate so fast. `last` is absent if no node has ever held
-/// the duty.
+/// the platform rejects holders that alternate so fast. After the store has come back from an older
+/// copy, a holder of the earlier era may act for as long as its lease lasted, and the copy may lack
+/// its key: no node claims the duty for Ttl, unless one has claimed it in this era. `last` is
+/// absent if no node has ever held the duty.
 bool mayClaim(const Lease &lease, const std::optional<LastHolder> &last, const Now &now);
 
 /// Returns the next call if one is due; it is pending until one of the functions below is called.
@@ -121,7 +124,7 @@
 
 /// The store has come back from an older copy: the duty is not held until the key has been read
 /// again. Does nothing unless `era` is later than the current one.
-void onStoreRestored(Lease &lease, std::uint64_t era);
+void onStoreRestored(Lease &lease, std::uint64_t era, const Now &now);
 
 /// Applies the key as read from the store in the current era, nullptr if it does not exist.
 /// Determines the outcome of a claim whose answer was lost, and whether the lease still exists
--- a/packages/duty/LeaseTest.cpp
+++ b/packages/duty/LeaseTest.cpp
@@ -6,6 +6,8 @@
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
+#include <deque>
+
 using namespace chervil;
 using namespace chervil::duty;
 using namespace std::chrono_literals;
@@ -21,6 +23,8 @@
   std::optional<store::Item> Key;
   std::optional<LastHolder> Last;
   std::uint64_t LastRevision = 0;
+  /// 0 if the answers do not name it.
+  std::uint64_t Era = 0;
 
   void expire(TimePoint now) {
     std::erase_if(Leases, [&](const auto &it) { return it.second <= now; });
@@ -45,15 +49,42 @@
 };
 
 /// Reads the store as the watch of a node does.
-void read(const FakeStore &s, Node &n) {
+void read(const FakeStore &s, Node &n, const Now &now) {
+  onStoreRestored(n.L, s.Era, now);
   n.Key = s.Key;
   n.Last = s.Last;
   n.LastRevision = s.LastRevision;
 }
 
-/// Executes a call; if `lost`, the answer is lost after the call took effect.
+/// A claim as the store gets it.
+struct Claim {
+  LastHolder From;
+  std::string Value;
+  std::uint64_t LeaseId = 0;
+  std::uint64_t LastRevision = 0;
+};
+
+Claim claimOf(const Node &n, std::uint64_t lease) {
+  return {{n.L.Options.Node, n.L.Era}, n.L.Options.Value, lease, n.LastRevision};
+}
+
+/// Returns the revision of the key, or 0 if a condition does not hold.
+std::uint64_t execute(FakeStore &s, const Claim &claim) {
+  if (!s.Leases.contains(claim.LeaseId) || s.Key || claim.LastRevision != s.LastRevision)
+    return 0;
+  const std::uint64_t revision = ++s.Revision;
+  s.Key = store::Item{"k", claim.Value, revision, revision, claim.LeaseId};
+  s.Last = claim.From;
+  s.LastRevision = revision;
+  return revision;
+}
+
+/// Executes a call; if `lost`, the answer is lost after the call took effect. An answer that names
+/// a later era does not count.
 void serve(FakeStore &s, Node &n, const LeaseCall &call, const Now &now, bool lost) {
   s.expire(now.Steady);
+  const bool isNewEra = !lost && s.Era > n.L.Era;
+  lost = lost || isNewEra;
   bool found = true;
   std::uint64_t result = 0;
   switch (call.Type) {
@@ -65,12 +96,7 @@
     break;
   case LeaseCall::Kind::Claim:
     found = s.Leases.contains(call.LeaseId);
-    if (found && !s.Key && n.LastRevision == s.LastRevision) {
-      result = ++s.Revision;
-      s.Key = store::Item{"k", n.L.Options.Value, result, result, call.LeaseId};
-      s.Last = LastHolder{n.L.Options.Node};
-      s.LastRevision = result;
-    }
+    result = execute(s, claimOf(n, call.LeaseId));
     if (!lost && !found)
       onLeaseNotFound(n.L, now);
     else if (!lost && result != 0)
@@ -94,13 +120,15 @@
     break;
   }
   s.expire(now.Steady);
+  if (isNewEra)
+    onStoreRestored(n.L, s.Era, now);
   if (lost)
     onCallFailed(n.L, now);
 }
 
 /// Lets the node create its lease and claim the free duty.
 void takeDuty(FakeStore &s, Node &n, const Now &now) {
-  read(s, n);
+  read(s, n, now);
   for (int i = 0; i < 3; ++i)
     if (const auto call = nextCall(n.L, s.Key ? &*s.Key : nullptr, true, now))
       serve(s, n, *call, now, false);
@@ -141,7 +169,7 @@
         }
         if (n.Paused)
           continue;
-        read(s, n);
+        read(s, n, now);
         onHolderRead(n.L, n.seenKey(), now);
         const auto call = nextCall(n.L, n.seenKey(), true, now);
         if (!call)
@@ -189,7 +217,7 @@
         // The store was away for longer than leases last without a confirmation.
         now.Steady += 3s;
         for (Node &n : nodes)
-          onStoreRestored(n.L, era);
+          onStoreRestored(n.L, era, now);
       }
       std::size_t holders = 0;
       for (std::size_t i = 0; i < nodes.size(); ++i) {
@@ -201,7 +229,7 @@
           highest = n.L.FencingToken;
           RC_ASSERT(tokens.emplace(n.L.FencingToken, i).first->second == i);
         }
-        read(s, n);
+        read(s, n, now);
         onHolderRead(n.L, n.seenKey(), now);
         if (draw(200) == 0) {
           // The node starts anew, and its value tells the starts apart.
@@ -231,7 +259,7 @@
     takeDuty(s, n, now);
     BOOST_TEST(isHeld(n.L, now));
     const std::uint64_t token = n.L.FencingToken;
-    onStoreRestored(n.L, 2);
+    onStoreRestored(n.L, 2, now);
     BOOST_TEST(!isHeld(n.L, now));
     BOOST_TEST(!nextCall(n.L, &*s.Key, true, now).has_value());
     onHolderRead(n.L, isKept ? &*s.Key : nullptr, now);
@@ -240,6 +268,33 @@
   }
 }
 
+// Guards against a second holder after a return of the store that executes a claim sent before it:
+// the holder of the earlier era may still act.
+BOOST_AUTO_TEST_CASE(ClaimOfAnEarlierEraDoesNotActAtOnce) {
+  FakeStore s;
+  Node n;
+  n.L.Era = 1;
+  n.L.Options.Value = "n";
+  Now now{TimePoint(1000s), WallTime(0s)};
+  const auto create = nextCall(n.L, nullptr, true, now);
+  BOOST_REQUIRE(create.has_value());
+  serve(s, n, *create, now, false);
+  const auto claim = nextCall(n.L, nullptr, true, now);
+  BOOST_REQUIRE(claim.has_value());
+  onCallFailed(n.L, now);
+  s.Era = 2;
+  BOOST_TEST(execute(s, claimOf(n, claim->LeaseId)) > 0U);
+  read(s, n, now);
+  onHolderRead(n.L, n.seenKey(), now);
+  const TimePoint end = now.Steady + n.L.Options.Ttl;
+  for (; now.Steady < end; now.Steady += 100ms) {
+    if (const auto call = nextCall(n.L, n.seenKey(), true, now))
+      serve(s, n, *call, now, false);
+    BOOST_TEST(!isHeld(n.L, now));
+  }
+  BOOST_TEST(isHeld(n.L, now));
+}
+
 // Guards against a duty that stays unavailable after its holder was shut down in order.
 BOOST_AUTO_TEST_CASE(ResigningFreesTheDuty) {
   FakeStore s;
@@ -348,6 +403,20 @@
   }
 };
 
+/// Copies of the store that the model keeps, one for each step.
+constexpr int MaxCopies = 100;
+
+/// Comes back as it was `age` steps ago, or at the first step. Leases go on from there.
+void restore(FakeStore &s, std::deque<FakeStore> &copies, std::size_t age, Duration step) {
+  age = std::min(age, copies.size() - 1);
+  const std::uint64_t era = s.Era + 1;
+  s = copies[copies.size() - 1 - age];
+  s.Era = era;
+  for (auto &[id, until] : s.Leases)
+    until += step * static_cast<std::int64_t>(age);
+  copies.clear();
+}
+
 // Guards against an action that takes effect after one of a later holder, and against a node that
 // acts within a lease time of its last action although another one has acted between: with nodes
 // that stop, are killed, paused or cut off from the store, and with lost answers. An action may
@@ -357,6 +426,10 @@
     Random rng(*rc::gen::arbitrary<std::uint64_t>());
     const auto draw = [&](int n) { return std::uniform_int_distribution(0, n - 1)(rng); };
     FakeStore s;
+    s.Era = 1;
+    std::deque<FakeStore> copies;
+    // Claims that the store executes after their answer was given up.
+    std::vector<std::pair<TimePoint, Claim>> late;
     FakePlatform platform;
     std::vector<Node> nodes(3);
     Now now{TimePoint(1000s), WallTime(0s)};
@@ -373,6 +446,14 @@
     for (int step = 0; step < 1500; ++step) {
       now.Steady += 50ms;
       s.expire(now.Steady);
+      copies.push_back(s);
+      if (copies.size() > MaxCopies)
+        copies.pop_front();
+      if (draw(300) == 0)
+        restore(s, copies, static_cast<std::size_t>(draw(MaxCopies)), 50ms);
+      std::erase_if(late, [&](const auto &it) {
+        return it.first <= now.Steady && (execute(s, it.second), true);
+      });
       std::erase_if(platform.Actions, [&](const auto &it) {
         if (it.Effect > now.Steady)
           return false;
@@ -382,15 +463,15 @@
       });
       for (std::size_t i = 0; i < nodes.size(); ++i) {
         Node &n = nodes[i];
-        n.Paused = draw(100) == 0 ? !n.Paused : n.Paused;
-        n.IsCutOff = draw(60) == 0 ? !n.IsCutOff : n.IsCutOff;
-        if (draw(200) == 0 || (n.L.Resigning && n.L.LeaseId == 0))
+        n.Paused = n.Paused ? draw(60) > 0 : draw(300) == 0;
+        n.IsCutOff = n.IsCutOff ? draw(60) > 0 : draw(200) == 0;
+        if (draw(200) == 0 || (n.L.Resigning && n.L.LeaseId == 0 && n.L.OpenActions == 0))
           restart(i);
         if (n.Paused)
           continue;
         n.L.Resigning = n.L.Resigning || draw(100) == 0;
-        if (!n.IsCutOff) {
-          read(s, n);
+        if (!n.IsCutOff && draw(3) == 0) {
+          read(s, n, now);
           onHolderRead(n.L, n.seenKey(), now);
         }
         if (isHeld(n.L, now)) {
@@ -402,9 +483,14 @@
         // Answers arrive within one step: a free duty is claimed in two calls.
         for (int k = 0; k < 2; ++k) {
           const auto call = nextCall(n.L, n.seenKey(), mayClaim(n.L, n.Last, now), now);
-          if (call && (n.IsCutOff || draw(10) == 0))
+          if (!call)
+            break;
+          const bool isLate = call->Type == LeaseCall::Kind::Claim && draw(3) == 0;
+          if (isLate)
+            late.emplace_back(now.Steady + 50ms * draw(40), claimOf(n, call->LeaseId));
+          if (isLate || n.IsCutOff || draw(10) == 0)
             onCallFailed(n.L, now);
-          else if (call)
+          else
             serve(s, n, *call, now, draw(10) == 0);
         }
       }
@@ -421,6 +507,11 @@
   BOOST_TEST(it->Incarnation == 7U);
   BOOST_TEST(it->PeerAddress == "10.0.0.1:9");
   BOOST_TEST(!parseHolder("junk").has_value());
+  const LastHolder last = parseLastHolder(formatLastHolder({"n-1", 7}));
+  BOOST_TEST(last.Node == "n-1");
+  BOOST_TEST(last.Era == 7U);
+  BOOST_TEST(parseLastHolder("").Node.empty());
+  BOOST_TEST(parseLastHolder("n x").Era == 0U);
 }
 
 // Guards against usage windows that jump with the VM's clock, and against a clock that never
