relay, daemon: a node that stops gives each open request a final answer at the end of its grace

Here requests that come later than 2.5 s after SIGTERM are refused (StoppingNodeRefusesRequests), so none is taken late. But what was still open at the end of the grace, taken in time and slow, or waiting for a server all the while, was cut by the end of the process without an answer.

Change: at that end each open request is answered, while the loop runs on for 50 ms: 503 with Retry-After if it was not sent, 502 if it may have run; a stream that has begun is aborted as before. Servers are told to cancel.

Tests: StopAnswersWhatDoesNotEndInTime, a whole node, failed before: no answer at the end of the grace (the test runs the loop on, which then gave the 504 of the route's timeout; a process has ended by then); StoppingNodeEndsEachRequestWithAnAnswer for the decision.

--- a/packages/daemon/edge/Edge.cpp
+++ b/packages/daemon/edge/Edge.cpp
@@ -93,10 +93,13 @@
 void endProcess(Edge &edge, const char *why) {
   if (edge.Stopping)
     return;
+  detail::handle(edge, [&edge](relay::Effects &out, const Now &now) {
+    relay::endRequests(edge.Relay, out, now, edge.Rng);
+  });
   detail::reportUsage(edge);
   edge.Stopping = true;
   detail::logLine(edge, "node", "stopped", {{"reason", why}});
-  // The last messages to peers leave from the loop.
+  // The last answers and messages to peers leave from the loop.
   net::after(edge.Timers, 50ms, [&edge] { net::stop(edge.Loop); });
 }
 
--- a/packages/daemon/edge/EdgeTest.cpp
+++ b/packages/daemon/edge/EdgeTest.cpp
@@ -99,6 +99,21 @@
   BOOST_TEST(f.A.Ran.size() > before);
 }
 
+// Guards against a planned stop that cuts off a request which may not be repeated without an
+// answer.
+BOOST_AUTO_TEST_CASE(StopAnswersWhatDoesNotEndInTime) {
+  Fixture f;
+  f.A.Behave = f.B.Behave = [](const http::Request &) { return true; };
+  f.Node->Settings.Edge.StopTime = 1000ms;
+  Answer answer;
+  f.send(answer, "POST", "/app/book/x");
+  BOOST_TEST(f.runUntil([&] { return f.A.Ran.size() + f.B.Ran.size() == 1; }));
+  leave(*f.Node);
+  BOOST_TEST(f.runUntil([&] { return answer.Ended; }));
+  BOOST_TEST((answer.Failure == http::Failure::None));
+  BOOST_TEST(answer.Status == 502);
+}
+
 // Guards against a request that runs at a server which took over an address, and is not served.
 BOOST_AUTO_TEST_CASE(AddressOfAnotherServerIsNotUsed) {
   Fixture f;
--- a/packages/relay/Relay.cpp
+++ b/packages/relay/Relay.cpp
@@ -282,6 +282,20 @@
   detail::claimTokensIfNeeded(ctx, workspace, account);
 }
 
+void endRequests(State &state, Effects &out, const Now &now, Random &rng) {
+  Context ctx{state, out, now, rng};
+  std::vector<RequestId> open;
+  for (const auto &[id, request] : state.ActiveRequests)
+    open.push_back(id);
+  for (const RequestId id : open) {
+    ActiveRequest &request = state.ActiveRequests.at(id);
+    // The request may have started to run in the current call.
+    if (request.Call != 0)
+      ++request.PossibleRuns;
+    detail::refuse(ctx, request, ResultCode::NodeLeaving, NodeLeavingRetryAfter);
+  }
+}
+
 void tick(State &state, Effects &out, const Now &now, Random &rng) {
   Context ctx{state, out, now, rng};
   for (auto &[workspace, account] : state.Accounts)
--- a/packages/relay/RelayTest.cpp
+++ b/packages/relay/RelayTest.cpp
@@ -245,6 +245,23 @@
   BOOST_TEST(f.only<Refuse>().Status == 503);
 }
 
+// Guards against requests that are cut off without an answer when the time to stop is over: callers
+// cannot tell whether they ran.
+BOOST_AUTO_TEST_CASE(StoppingNodeEndsEachRequestWithAnAnswer) {
+  Fixture f;
+  f.request("/once/x");
+  endRequests(f.S, f.Out, f.Time, f.Rng);
+  BOOST_TEST(f.only<Refuse>().Status == 502);
+  BOOST_TEST(f.S.ActiveRequests.empty());
+  f.Out.clear();
+  Fixture withoutServers(0);
+  withoutServers.request("/once/x");
+  endRequests(withoutServers.S, withoutServers.Out, withoutServers.Time, withoutServers.Rng);
+  const Refuse refused = withoutServers.only<Refuse>();
+  BOOST_TEST(refused.Status == 503);
+  BOOST_TEST((refused.RetryAfter > 0ms));
+}
+
 // Guards against going back to an older configuration.
 BOOST_AUTO_TEST_CASE(OlderConfigurationIsIgnored) {
   Fixture f;
