relay: a stream whose server is silent stays with it if no other server can continue it

Cause: on resumable routes a silence of half of what callers bear counted as a lost call. It moved the stream to another server, and when that one was silent for as long, or no attempt, no other server or no retry was left, the stream was aborted. Silence alone used up the attempts.

Change: after half of the callers' patience another server is looked for, every 0.2 s; until one can be had the present call goes on, and it ends the stream only when the patience is over, which is when callers leave. A server that is really gone is left after the same time as before if another one can continue the stream (StalledResumableStreamGoesOnElsewhere is unchanged); if none can, the stream ends after the patience instead of half of it.

Tests: SilentServerIsKeptIfNoOtherCanContinue (attempts, servers or retry budget used up) and SilentServerIsLeftOnceAnotherCanContinue failed before; SilentServerIsNotKeptForever bounds the wait.

--- a/packages/relay/ActiveRequest.h
+++ b/packages/relay/ActiveRequest.h
@@ -95,6 +95,8 @@
   /// How far the stream of the current call has come, and when it last made progress.
   EventProgress Progress;
   TimePoint LastProgress{};
+  /// While its server is silent: another one is not looked for before this time.
+  TimePoint NextMove{};
   /// Id of the last event forwarded to the caller.
   std::string LastEvent;
 };
--- a/packages/relay/BackendEvents.cpp
+++ b/packages/relay/BackendEvents.cpp
@@ -8,6 +8,7 @@
 #include "relay/detail/SuspectParts.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace chervil::relay {
 namespace {
@@ -19,6 +20,8 @@
 constexpr auto ServersFullRetryAfter = 800ms;
 // Largest event of a stream. An event without end would otherwise be collected without bound.
 constexpr std::size_t MaxEventBytes = 256 * 1024;
+// Time between two attempts to find another server for a stream whose server is silent.
+constexpr Duration MovePeriod = 200ms;
 // Answers up to this size are collected even if the bound of all answers is reached.
 constexpr std::size_t SmallAnswerBytes = 64 * 1024;
 
@@ -66,6 +69,18 @@
     detail::refuse(ctx, request, why, 0ms);
 }
 
+/// Lets another server continue a stream whose server is silent. Returns false, and changes
+/// nothing, if that is not allowed now or none can be had.
+bool moveStalled(Context &ctx, ActiveRequest &request) {
+  const ResultCode before = std::exchange(request.LastFailure, ResultCode::BackendTimeout);
+  ++request.PossibleRuns;
+  if (detail::retryRequest(ctx, request, true))
+    return true;
+  --request.PossibleRuns;
+  request.LastFailure = before;
+  return false;
+}
+
 /// Handles an answer whose server says that it is leaving.
 void onLeavingStated(Context &ctx, const ActiveRequest &request) {
   const Backend *server = find(ctx.S.Servers, request.Backend);
@@ -265,10 +280,13 @@
 
 namespace detail {
 
+Duration callerPatience(const Route &route) {
+  return std::max({MinStallTimeout, Duration(StallTargets * route.Target),
+                   Duration(StallGaps * route.GapTarget)});
+}
+
 Duration stallTimeout(const Route &route) {
-  const Duration limit = std::max({MinStallTimeout, Duration(StallTargets * route.Target),
-                                   Duration(StallGaps * route.GapTarget)});
-  return route.Resumable ? limit / 2 : limit;
+  return route.Resumable ? callerPatience(route) / 2 : callerPatience(route);
 }
 
 bool isStalled(const ActiveRequest &request, const Now &now) {
@@ -276,11 +294,25 @@
          now.Steady - request.LastProgress > stallTimeout(*request.Route);
 }
 
-void endStalledCall(Context &ctx, ActiveRequest &request) {
-  ctx.Out.push_back(IncrementCounter{"backend_misbehaved", "stalled"});
-  logRequest(ctx, request, "stalled",
-             {{"silent_ms", formatMillis(ctx.Time.Steady - request.LastProgress)}});
-  onLost(ctx, request, ResultCode::BackendTimeout);
+void handleStalledCall(Context &ctx, ActiveRequest &request) {
+  const Duration silence = ctx.Time.Steady - request.LastProgress;
+  const bool isPatienceOver = silence > callerPatience(*request.Route);
+  if (!isPatienceOver && ctx.Time.Steady < request.NextMove)
+    return;
+  request.NextMove = ctx.Time.Steady + MovePeriod;
+  const std::string server = request.Backend;
+  const CallId call = request.Call;
+  if (isPatienceOver || moveStalled(ctx, request)) {
+    ctx.Out.push_back(IncrementCounter{"backend_misbehaved", "stalled"});
+    logRequest(ctx, request, "stalled",
+               {{"silent_server", server}, {"silent_ms", formatMillis(silence)}});
+  }
+  if (isPatienceOver) {
+    onLost(ctx, request, ResultCode::BackendTimeout);
+  } else if (request.Call != call) {
+    recordOutcome(ctx.S.Servers, server, SendOutcome::Broken, ctx.Time);
+    ctx.Out.push_back(CancelBackend{call});
+  }
 }
 
 } // namespace detail
--- a/packages/relay/Relay.cpp
+++ b/packages/relay/Relay.cpp
@@ -337,7 +337,7 @@
     }
   for (const RequestId id : stalled)
     if (const auto it = state.ActiveRequests.find(id); it != state.ActiveRequests.end())
-      detail::endStalledCall(ctx, it->second);
+      detail::handleStalledCall(ctx, it->second);
   for (const RequestId id : timedOut)
     if (const auto it = state.ActiveRequests.find(id); it != state.ActiveRequests.end())
       detail::refuseTimedOut(ctx, it->second);
--- a/packages/relay/Relay.h
+++ b/packages/relay/Relay.h
@@ -156,7 +156,8 @@
 /// Handles a claim that the home node of a workspace did not answer.
 void onClaimLost(State &state, const std::string &workspace, Effects &out, const Now &now);
 
-/// The node stops now: gives each open request its final answer. A stream that has begun is aborted.
+/// The node stops now: gives each open request its final answer. A stream that has begun is
+/// aborted.
 void endRequests(State &state, Effects &out, const Now &now, Random &rng);
 
 /// Refuses requests that timed out, ends streams that make no progress, and dispatches requests
--- a/packages/relay/TroubledServersTest.cpp
+++ b/packages/relay/TroubledServersTest.cpp
@@ -238,4 +238,65 @@
   BOOST_TEST(f.only<CancelBackend>().Call == first.Call);
 }
 
+// Guards against a stream that breaks off because sound servers are silent for a moment, as when
+// they preempt it: the attempts, the servers or the retry budget were used up, and the node did not
+// wait for the server that it still had.
+BOOST_AUTO_TEST_CASE(SilentServerIsKeptIfNoOtherCanContinue) {
+  enum class Lacks : std::uint8_t { Attempts, Servers, Budget };
+  for (const Lacks what : {Lacks::Attempts, Lacks::Servers, Lacks::Budget}) {
+    Fixture f(what == Lacks::Servers ? 1 : 3);
+    if (what == Lacks::Budget)
+      f.S.Settings.RetryRatio = f.S.Settings.RetrySlack = 0;
+    f.request("/resumed/x");
+    f.S.ActiveRequests.begin()->second.GiveUp = f.Time.Steady + 1h;
+    const Route &route = f.S.Config->Routes[3];
+    const Duration stalled = detail::stallTimeout(route) + 1ms;
+    f.head(f.call().Call, 200);
+    f.bytes(f.call().Call, "id: 1\ndata: a\n\n");
+    if (what == Lacks::Attempts)
+      for (unsigned sends = 1; sends < route.MaxAttempts; ++sends) {
+        f.wait(stalled);
+        f.head(f.call().Call, 200);
+      }
+    const CallBackend last = f.call();
+    const std::size_t calls = f.all<CallBackend>().size();
+    f.wait(stalled);
+    f.wait(detail::callerPatience(route) - stalled - 1ms);
+    BOOST_TEST(f.all<AbortStream>().empty());
+    BOOST_TEST(f.all<CallBackend>().size() == calls);
+    f.bytes(last.Call, "id: 2\ndata: b\n\n");
+    f.end(last.Call, BackendEnd::Complete);
+    BOOST_TEST(f.all<EndStream>().size() == 1U);
+  }
+}
+
+// Guards against a stream whose server is silent for longer than its caller waits and that is kept.
+BOOST_AUTO_TEST_CASE(SilentServerIsNotKeptForever) {
+  Fixture f(1);
+  f.request("/resumed/x");
+  f.S.ActiveRequests.begin()->second.GiveUp = f.Time.Steady + 1h;
+  f.head(f.call().Call, 200);
+  f.bytes(f.call().Call, "id: 1\ndata: a\n\n");
+  f.wait(detail::callerPatience(f.S.Config->Routes[3]) + 1ms);
+  BOOST_TEST(f.all<AbortStream>().size() == 1U);
+  BOOST_TEST(f.S.ActiveRequests.empty());
+}
+
+// Guards against a stream that stays with a silent server after another one has become available.
+BOOST_AUTO_TEST_CASE(SilentServerIsLeftOnceAnotherCanContinue) {
+  Fixture f;
+  f.S.Settings.RetryRatio = f.S.Settings.RetrySlack = 0;
+  f.request("/resumed/x");
+  f.S.ActiveRequests.begin()->second.GiveUp = f.Time.Steady + 1h;
+  const CallBackend first = f.call();
+  f.head(first.Call, 200);
+  f.bytes(first.Call, "id: 1\ndata: a\n\n");
+  f.wait(detail::stallTimeout(f.S.Config->Routes[3]) + 1ms);
+  BOOST_TEST(f.call().Call == first.Call);
+  f.S.Settings.RetrySlack = 100;
+  f.wait(250ms);
+  BOOST_TEST(f.call().Backend != first.Backend);
+  BOOST_TEST(f.only<CancelBackend>().Call == first.Call);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
