--- a/packages/daemon/edge/EdgeDuty.cpp
+++ b/packages/daemon/edge/EdgeDuty.cpp
@@ -103,13 +103,16 @@
   const auto last = lastHolder(edge);
   const bool may = duty::mayClaim(edge.Lease, last, now);
   if (!may && !edge.ClaimDeferred)
-    logLine(edge, "duty", "claim_deferred",
-            {{"last_holder", last ? last->Node : ""},
-             {"last_era", std::to_string(last ? last->Era : 0)},
-             {"era", std::to_string(edge.Lease.Era)},
-             {"era_age_ms", std::to_string(millisecondsSince(edge.Lease.EraSince, now))},
-             {"quiet_ms", std::to_string(millisecondsSince(edge.Lease.QuietSince, now))},
-             {"open_calls", std::to_string(edge.Lease.OpenActions)}});
+    logLine(
+        edge, "duty", "claim_deferred",
+        {{"last_holder", last ? last->Node : ""},
+         {"last_era", std::to_string(last ? last->Era : 0)},
+         {"era", std::to_string(edge.Lease.Era)},
+         // Empty as long as no answer of the store has named an era.
+         {"era_age_ms",
+          edge.Lease.Era == 0 ? "" : std::to_string(millisecondsSince(edge.Lease.EraSince, now))},
+         {"quiet_ms", std::to_string(millisecondsSince(edge.Lease.QuietSince, now))},
+         {"open_calls", std::to_string(edge.Lease.OpenActions)}});
   edge.ClaimDeferred = !may;
   return may;
 }
