duty, daemon: a call of the duty is decided and bounded at one moment

In a process that was suspended between the two the bound became negative, and the HTTP client takes a bound that is not positive as none: a call of a holder whose lease was over, without any bound.

Change: actionTimeout() is empty unless the duty is held, and nothing is sent then. Test: ActionsEndBeforeTheLeaseCanExpire asks for it after the end of the lease, where the bound was -400 ms before.

--- a/packages/daemon/edge/DutyDetail.h
+++ b/packages/daemon/edge/DutyDetail.h
@@ -23,8 +23,9 @@
 /// This node as the holder of the duty.
 adapter::DutyHolder holderOf(const Edge &edge);
 
-/// Calls the platform as the holder of the duty, which this node must hold. The call ends before the
-/// lease can expire, and the lease is not revoked before the call has ended.
+/// Calls the platform as the holder of the duty. The call ends before the lease can expire, and the
+/// lease is not revoked before the call has ended. If this node does not hold the duty any more,
+/// nothing is sent and `onAnswer` is called at once.
 void callAsHolder(Edge &edge, http::Call what, OnAnswer onAnswer);
 
 /// Reports usage while this node holds the duty (EdgeUsage.cpp).
--- a/packages/daemon/edge/EdgeDuty.cpp
+++ b/packages/daemon/edge/EdgeDuty.cpp
@@ -160,7 +160,12 @@
 }
 
 void callAsHolder(Edge &edge, http::Call what, OnAnswer onAnswer) {
-  what.Timeout = std::min(what.Timeout, duty::actionTimeout(edge.Lease, net::readNow()));
+  const auto timeout = duty::actionTimeout(edge.Lease, net::readNow());
+  if (!timeout) {
+    onAnswer({.Failure = http::Failure::NotSent});
+    return;
+  }
+  what.Timeout = std::min(what.Timeout, *timeout);
   duty::onActionStarted(edge.Lease);
   callPlatform(
       edge, std::move(what), [&edge, onAnswer = std::move(onAnswer)](const PlatformAnswer &answer) {
--- a/packages/duty/Lease.cpp
+++ b/packages/duty/Lease.cpp
@@ -162,7 +162,9 @@
          now.Steady - lease.ConfirmedAt < lease.Options.Ttl - lease.Options.Margin;
 }
 
-std::chrono::milliseconds actionTimeout(const Lease &lease, const Now &now) {
+std::optional<std::chrono::milliseconds> actionTimeout(const Lease &lease, const Now &now) {
+  if (!isHeld(lease, now))
+    return std::nullopt;
   const Duration left = lease.ConfirmedAt + lease.Options.Ttl - ActionOverrun - now.Steady;
   return std::chrono::duration_cast<std::chrono::milliseconds>(left);
 }
--- a/packages/duty/Lease.h
+++ b/packages/duty/Lease.h
@@ -2,9 +2,9 @@
 // a lease in the platform's store. Usage:
 //   const bool may = mayClaim(lease, lastHolder, now);
 //   if (auto call = nextCall(lease, holder, may, now)) start(*call);   // on each tick and result
-//   if (isHeld(lease, now)) {
+//   if (const auto timeout = actionTimeout(lease, now)) {
 //     onActionStarted(lease);
-//     act(lease.FencingToken, actionTimeout(lease, now));   // ends with onActionEnded()
+//     act(lease.FencingToken, *timeout);   // ends with onActionEnded()
 //   }
 // Pure: performs no I/O. Time points must advance while the VM is suspended, since the time of the
 // store does.
@@ -42,9 +42,8 @@
   enum class Kind : std::uint8_t {
     /// Create a lease with lifetime Options.Ttl.
     Create,
-    /// Write the key, attached to the lease, and LastHolder, if the key does not exist and
-    /// LastHolder
-    /// has not changed since it was read.
+    /// Write the key, attached to the lease, and the last holder. Requires that the key does not
+    /// exist and that the last holder has not changed since it was read.
     Claim,
     /// Renew the lease.
     Renew,
@@ -138,9 +137,9 @@
 /// before may still be on its way.
 inline constexpr Duration ActionOverrun = std::chrono::milliseconds(500);
 
-/// Bound on an action that begins now. With ActionOverrun it ends before the lease can expire in
-/// the store; positive while the duty is held.
-std::chrono::milliseconds actionTimeout(const Lease &lease, const Now &now);
+/// Returns the bound on an action that begins now: with ActionOverrun it ends before the lease can
+/// expire in the store. Empty unless the duty is held.
+std::optional<std::chrono::milliseconds> actionTimeout(const Lease &lease, const Now &now);
 
 /// An action as the holder, such as a call to the platform, begins or has ended. One without an
 /// answer may still take effect until ActionOverrun has passed. The lease is not revoked while an
--- a/packages/duty/LeaseTest.cpp
+++ b/packages/duty/LeaseTest.cpp
@@ -341,9 +341,13 @@
   takeDuty(s, n, now);
   const TimePoint end = s.Leases.at(n.L.LeaseId);
   for (; isHeld(n.L, now); now.Steady += 100ms) {
-    BOOST_TEST((actionTimeout(n.L, now) > 0ms));
-    BOOST_TEST((now.Steady + actionTimeout(n.L, now) + ActionOverrun <= end));
+    const auto timeout = actionTimeout(n.L, now);
+    BOOST_REQUIRE(timeout.has_value());
+    BOOST_TEST((*timeout > 0ms));
+    BOOST_TEST((now.Steady + *timeout + ActionOverrun <= end));
   }
+  // A process may be suspended between its decision to act and the action.
+  BOOST_TEST(!actionTimeout(n.L, now).has_value());
   BOOST_TEST((now.Steady - TimePoint(1000s) > 2s));
 }
 
@@ -474,8 +478,8 @@
           read(s, n, now);
           onHolderRead(n.L, n.seenKey(), now);
         }
-        if (isHeld(n.L, now)) {
-          const Duration most = actionTimeout(n.L, now) + ActionOverrun;
+        if (const auto timeout = actionTimeout(n.L, now)) {
+          const Duration most = *timeout + ActionOverrun;
           const Duration taken = Duration(draw(static_cast<int>(most.count())));
           platform.Actions.push_back({i, n.L.FencingToken, now.Steady + taken});
           onActionStarted(n.L);
