--- a/packages/daemon/edge/Edge.cpp
+++ b/packages/daemon/edge/Edge.cpp
@@ -65,7 +65,8 @@
   if (text.empty() || text == edge.SettingsText)
     return;
   edge.SettingsText = text;
-  const auto settings = parseNodeSettings(text, edge.SettingsPath);
+  const auto settings =
+      parseNodeSettings(text, edge.SettingsPath, readSecretFile, edge.SettingOverrides);
   if (!settings) {
     detail::logLine(edge, "settings", "bad", {{"error", toString(settings.error().front())}});
     return;
@@ -144,8 +145,9 @@
 
 } // namespace
 
-Edge::Edge(NodeSettings settings, std::string settingsPath)
-    : Settings(std::move(settings)), SettingsPath(std::move(settingsPath)) {
+Edge::Edge(NodeSettings settings, std::string settingsPath, std::vector<std::string> overrides)
+    : Settings(std::move(settings)), SettingsPath(std::move(settingsPath)),
+      SettingOverrides(std::move(overrides)) {
   const Now now = net::readNow();
   SettingsText = readText(SettingsPath);
   Log.Node = Settings.Node.Name;
--- a/packages/daemon/edge/Edge.h
+++ b/packages/daemon/edge/Edge.h
@@ -35,6 +35,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace chervil::daemon {
 
@@ -47,10 +48,12 @@
 
 /// Members are destroyed in reverse order: everything on the loop goes before the loop.
 struct Edge {
-  Edge(NodeSettings settings, std::string settingsPath);
+  /// `overrides` apply to the settings file whenever it is read again; see parseNodeSettings().
+  Edge(NodeSettings settings, std::string settingsPath, std::vector<std::string> overrides = {});
 
   NodeSettings Settings;
   std::string SettingsPath;
+  std::vector<std::string> SettingOverrides;
   std::string SettingsText;
   net::Loop Loop;
   net::TimerService Timers{Loop};
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -8,6 +8,7 @@
 #include <glog/logging.h>
 #include <iostream>
 #include <sstream>
+#include <vector>
 
 namespace {
 
@@ -16,13 +17,15 @@
 constexpr const char *Usage = R"(chervilcoursed: a node of chervilcourse.
 
 Usage:
-  chervilcoursed [--settings FILE]
+  chervilcoursed [--settings FILE] [--set OVERRIDE]...
   chervilcoursed --help
   chervilcoursed --version
 
 Options:
   --settings FILE  Settings of the node (docs/settings.md). Without it, the variable
                    CHERVILCOURSE_SETTINGS names the file.
+  --set OVERRIDE   SECTION.KEY=VALUE: replaces a value of the settings file; ignored if VALUE is
+                   empty. Deploy files pass the limits of the VM in this way.
   --help           Show this text.
   --version        Show the version.
 
@@ -74,7 +77,8 @@
     std::cerr << "chervilcoursed: cannot read the settings file '" << path << "'\n";
     return ExitUsage;
   }
-  auto settings = parseNodeSettings(text.str(), path);
+  const std::vector<std::string> overrides = args.at("--set").asStringList();
+  auto settings = parseNodeSettings(text.str(), path, readSecretFile, overrides);
   if (!settings) {
     for (const SettingError &it : settings.error())
       std::cerr << toString(it) << "\n";
@@ -85,7 +89,7 @@
     daemon::Daemon node(std::move(*settings));
     return serve(node);
   }
-  daemon::Edge node(std::move(*settings), path);
+  daemon::Edge node(std::move(*settings), path, overrides);
   const int status = serve(node);
   daemon::flush(node.Log);
   return status;
--- a/packages/settings/NodeSettings.h
+++ b/packages/settings/NodeSettings.h
@@ -108,6 +108,9 @@
   std::chrono::milliseconds RetryWindow{0};
   std::uint64_t MaxAnswerBytes = 0;
   std::uint64_t MaxCollectedBytes = 0;
+  /// Memory of the VM in MB (10^6 bytes), and the descriptors that a process may open there.
+  std::uint32_t MemoryMb = 0;
+  std::uint32_t MaxDescriptors = 0;
   std::uint32_t ReclaimablePercent = 0;
   std::uint32_t NeededPercent = 0;
 };
--- a/packages/settings/ParseNodeSettings.cpp
+++ b/packages/settings/ParseNodeSettings.cpp
@@ -180,6 +180,28 @@
   return 1;
 }
 
+/// Takes a value given on the command line.
+void applyOverride(Pass &pass, const std::string &text) {
+  const std::size_t dot = text.find('.');
+  const std::size_t equals = text.find('=');
+  const bool wellFormed = dot != std::string::npos && equals != std::string::npos && dot < equals;
+  const std::string section = wellFormed ? text.substr(0, dot) : "";
+  const std::string name = wellFormed ? text.substr(dot + 1, equals - dot - 1) : "";
+  if (findKey(section, name) == nullptr) {
+    pass.Errors.push_back({.File = "--set",
+                           .Line = 0,
+                           .Section = printable(section),
+                           .Key = printable(name),
+                           .Problem = wellFormed ? "unknown key" : "malformed override",
+                           .Found = "'" + printable(text.substr(0, equals)) + "'",
+                           .Accepted = "SECTION.KEY=VALUE"});
+    return;
+  }
+  const std::string value = text.substr(equals + 1);
+  if (!value.empty())
+    pass.Values[{section, name}] = Entry{0, value};
+}
+
 void reportKey(Pass &pass, const SettingKey &key, int line, std::string problem,
                std::string found) {
   // A missing key has no line; report() would fill in the last one read.
@@ -266,12 +288,14 @@
 
 tl::expected<NodeSettings, std::vector<SettingError>>
 parseNodeSettings(std::string_view text, const std::string &fileName,
-                  const SecretReader &readSecret) {
+                  const SecretReader &readSecret, std::span<const std::string> overrides) {
   Pass pass;
   pass.Left = text;
   pass.File = fileName;
   ini_parse_stream(nextLine, &pass, takeValue, &pass);
   closeLine(pass);
+  for (const std::string &it : overrides)
+    applyOverride(pass, it);
   NodeSettings out;
   storeAll(pass, out, readSecret);
   if (pass.Errors.empty())
--- a/packages/settings/ParseNodeSettings.h
+++ b/packages/settings/ParseNodeSettings.h
@@ -8,6 +8,8 @@
 #include "settings/SettingError.h"
 
 #include <functional>
+#include <span>
+#include <string>
 #include <string_view>
 #include <tl/expected.hpp>
 
@@ -21,10 +23,12 @@
 
 /// Errors are in the order of their lines; missing keys come last. `fileName` appears in them only.
 /// Lines hold at most 198 characters; a list may be continued on indented lines. Text after a
-/// semicolon that follows a space is a comment.
+/// semicolon that follows a space is a comment. Each of `overrides` is "SECTION.KEY=VALUE" and
+/// replaces the value in the text; one without a value changes nothing.
 tl::expected<NodeSettings, std::vector<SettingError>>
 parseNodeSettings(std::string_view text, const std::string &fileName,
-                  const SecretReader &readSecret = readSecretFile);
+                  const SecretReader &readSecret = readSecretFile,
+                  std::span<const std::string> overrides = {});
 
 /// All keys at their defaults; required keys are empty. For tests and tools.
 NodeSettings defaultNodeSettings();
--- a/packages/settings/SettingKeys.cpp
+++ b/packages/settings/SettingKeys.cpp
@@ -207,6 +207,14 @@
      "beyond it.",
      at<&S::Edge, &EdgeSection::MaxCollectedBytes>},
 
+    {"edge", "memory_mb", Integer, "256", 48, 1048576,
+     "Memory of the VM in MB (10^6 bytes). What the node holds for clients, backend servers and "
+     "other nodes is bounded by it.",
+     at<&S::Edge, &EdgeSection::MemoryMb>},
+    {"edge", "max_descriptors", Integer, "4096", 64, 1048576,
+     "Descriptors that the process may open. Connections are accepted only while enough are left "
+     "for its own work.",
+     at<&S::Edge, &EdgeSection::MaxDescriptors>},
     {"edge", "reclaimable_percent", Percent, "75", 0, 100,
      "Reclaimable backend servers ordered per data centre, as part of the bound on servers there.",
      at<&S::Edge, &EdgeSection::ReclaimablePercent>},
--- a/packages/settings/SettingsTest.cpp
+++ b/packages/settings/SettingsTest.cpp
@@ -261,6 +261,21 @@
   }
 }
 
+// Guards against limits of the VM from the deploy file that do not reach the node, and against a
+// misspelt override that is ignored.
+BOOST_AUTO_TEST_CASE(OverridesReplaceValuesOfTheFile) {
+  const auto parse = [](std::vector<std::string> overrides) {
+    return parseNodeSettings(Minimal + "[limits]\nfloor_percent = 10\n", "node.ini", readSecretFile,
+                             overrides);
+  };
+  BOOST_TEST(parse({"limits.floor_percent=30"})->Limits.FloorPercent == 30U);
+  BOOST_TEST(parse({"limits.floor_percent="})->Limits.FloorPercent == 10U);
+  BOOST_TEST(parse({"edge.stop_time=9s"})->Edge.StopTime.count() == 9000);
+  for (const char *bad :
+       {"limits.floor_percent=x", "limits.none=1", "floor_percent=1", "limits.a", "=", ""})
+    BOOST_TEST(!parse({bad}).has_value(), bad);
+}
+
 // Guards against a manual that differs from the program.
 BOOST_AUTO_TEST_CASE(ManualIsUpToDate) {
   std::ifstream in(std::string(CHERVIL_DOCS) + "/settings.md");
