limits, http, daemon: one memory budget for what is held for clients and backend servers

Cause: nothing bounded the bytes of all requests and responses together. Trailers were collected in the input buffer until their end and then kept as fields of the head; each body was held three times; a buffer that had been large stayed large; answers waited in full for clients that read nothing; connections were accepted up to a fixed number.

limits::MemoryBudget counts what each connection holds and decides which one is closed when it is full: the longest stalled, else the request that began last; small requests have a reserved part. A request that does not fit is refused with 503 and Retry-After before its body is read if its length is known. Trailers count towards the limit of the head and are not kept, chunk framing is bounded, a body has a minimum rate after idle_timeout, an answer that nobody takes is closed after it, accepting pauses when descriptors run short, and one client address gets half of the connections. Large answers are not read further while the budget has no room. Bodies are shared with the calls that pass them on.

--- a/packages/daemon/edge/Edge.cpp
+++ b/packages/daemon/edge/Edge.cpp
@@ -32,6 +32,7 @@
 constexpr Duration LeavingTime = 2500ms;
 // The last part of stop_time is left to the end of the process.
 constexpr Duration StopMargin = 500ms;
+constexpr std::uint64_t BytesPerMb = 1'000'000;
 // A node that cannot serve reports this load, so that callers are sent to others.
 constexpr std::uint8_t NotReadyLoad = 100;
 
@@ -170,7 +171,8 @@
   Lease.QuietSince = now.Steady;
   Lease.Options.Value =
       duty::formatHolder({Settings.Node.Name, wallMs(now), Settings.Node.PeerAdvertise});
-  Backends = http::makeClient(Loop, Timers, {});
+  Memory = limits::makeMemoryBudget(std::uint64_t{Settings.Edge.MemoryMb} * BytesPerMb);
+  Backends = http::makeClient(Loop, Timers, {.Memory = &Memory});
   Platform = http::makeClient(Loop, Timers, {.MaxIdlePerAddress = 4});
 }
 
@@ -227,6 +229,13 @@
   setTotal(metrics, "backend_responses", "trailing_bytes",
            static_cast<double>(calls.TrailingBytes));
   setGauge(metrics, "collected_bytes", static_cast<double>(edge.Relay.CollectedBytes));
+  for (std::size_t i = 0; i < limits::MemoryUses; ++i)
+    setGauge(metrics,
+             std::string("memory_held_bytes_") + toString(static_cast<limits::MemoryUse>(i)),
+             static_cast<double>(edge.Memory.Held[i]));
+  setGauge(metrics, "memory_ceiling_bytes", static_cast<double>(edge.Memory.Ceiling));
+  setGauge(metrics, "caller_connections",
+           static_cast<double>(http::openConnections(*edge.Callers)));
   setTotal(metrics, "log_lines", "dropped", static_cast<double>(edge.Log.Dropped));
   return serialise(metrics);
 }
--- a/packages/daemon/edge/Edge.h
+++ b/packages/daemon/edge/Edge.h
@@ -18,6 +18,7 @@
 #include "fleet/ZoneOrders.h"
 #include "http/Client.h"
 #include "http/Server.h"
+#include "limits/MemoryBudget.h"
 #include "limits/ServerLimitHome.h"
 #include "limits/TokenHome.h"
 #include "membership/Membership.h"
@@ -31,6 +32,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -46,6 +48,14 @@
   http::ResponseHead Head;
 };
 
+/// A request that is not answered completely.
+struct OpenRequest {
+  http::RequestHead Head;
+  /// Shared with the calls that pass it on.
+  std::shared_ptr<const std::string> Body;
+  TimePoint Started{};
+};
+
 /// Members are destroyed in reverse order: everything on the loop goes before the loop.
 struct Edge {
   /// `overrides` apply to the settings file whenever it is read again; see parseNodeSettings().
@@ -66,6 +76,10 @@
   relay::State Relay;
   membership::State Members;
   config::Store Documents;
+  /// What the process holds for clients and backend servers.
+  limits::MemoryBudget Memory;
+  /// By IP address of a client that was turned away: when that was last logged.
+  std::map<std::string, TimePoint> ShedLogged;
   limits::TokenHome Home;
   limits::ServerLimitHome ServerLimits;
   TimePoint NextLimitShare{};
@@ -134,7 +148,7 @@
   net::PeerTransportPtr Peers;
 
   /// Requests that are not answered completely, by handle.
-  std::unordered_map<relay::RequestId, http::Request> Requests;
+  std::unordered_map<relay::RequestId, OpenRequest> Requests;
   std::unordered_map<relay::CallId, OpenCall> Calls;
   /// Work that arose while effects were carried out.
   std::deque<std::function<void()>> Pending;
--- a/packages/daemon/edge/EdgeEffects.cpp
+++ b/packages/daemon/edge/EdgeEffects.cpp
@@ -65,7 +65,7 @@
     const auto request = E.Requests.find(e.Request);
     if (request == E.Requests.end())
       return;
-    http::Call call = adapter::backendCall(request->second, e);
+    http::Call call = adapter::backendCall(request->second.Head, request->second.Body, e);
     call.ConnectTimeout = BackendConnectTimeout;
     call.Timeout = e.Remaining + BackendCallMargin;
     call.MaxResponseBytes = e.MaxAnswerBytes;
@@ -143,7 +143,10 @@
 void handle(Edge &edge, std::function<void(relay::Effects &, const Now &)> work) {
   edge.Pending.push_back([&edge, work = std::move(work)] {
     relay::Effects out;
+    const std::uint64_t collected = edge.Relay.CollectedBytes;
     work(out, net::readNow());
+    limits::adjust(edge.Memory, limits::MemoryUse::BackendAnswers, collected,
+                   edge.Relay.CollectedBytes);
     carryOut(edge, out);
   });
   if (edge.Working)
--- a/packages/daemon/edge/EdgeServers.cpp
+++ b/packages/daemon/edge/EdgeServers.cpp
@@ -5,6 +5,9 @@
 #include "platform/EntryProtocol.h"
 #include "platform/IngressProtocol.h"
 
+#include <algorithm>
+#include <memory>
+
 namespace chervil::daemon::detail {
 namespace {
 
@@ -14,12 +17,30 @@
 // often, a longer one keeps them at nodes that have left.
 constexpr std::chrono::seconds EntryTtl{2};
 constexpr std::size_t MaxEntryAddresses = 64;
+// Descriptors that are not sockets: the platform reserves as many for files.
+constexpr std::size_t FileDescriptors = 200;
+// A connection in each direction.
+constexpr std::size_t SocketsPerNode = 2;
+// Part of the sockets up to which connections are accepted, and part that callers may have. The
+// rest is left to calls that pass requests on, to health checks and to operators.
+constexpr double MaxAcceptFraction = 0.9;
+constexpr double CallerFraction = 0.75;
+// A client address may have this part of the connections of all callers.
+constexpr double AddressFraction = 0.5;
+// Listeners other than that of the callers read short questions only.
+constexpr std::uint64_t MaxQuestionBytes = 16 * 1024;
+constexpr std::size_t MaxQuestionConnections = 500;
+// Bounds on the log lines about clients that are turned away.
+constexpr Duration ShedLogPeriod = 10s;
+constexpr std::size_t MaxShedAddresses = 256;
 
 void onCallerRequest(Edge &edge, http::Request &&request) {
   const relay::RequestId id = request.Id;
   const TimePoint started = request.Started;
   relay::RequestInfo info = adapter::readRequest(request);
-  edge.Requests.emplace(id, std::move(request));
+  edge.Requests.emplace(
+      id, OpenRequest{std::move(request.Head),
+                      std::make_shared<const std::string>(std::move(request.Body)), started});
   handle(edge, [&edge, id, started, info = std::move(info)](relay::Effects &out, const Now &now) {
     if (edge.Requests.contains(id))
       relay::onRequest(edge.Relay, id, info, started, out, now, edge.Rng);
@@ -33,6 +54,41 @@
   });
 }
 
+/// Counts a client that was turned away, and logs it once per address and ShedLogPeriod.
+void onShed(Edge &edge, const std::string &address, http::Shed reason) {
+  count(edge.Counters, "client_shed", http::toString(reason));
+  const TimePoint now = net::readNow().Steady;
+  if (edge.ShedLogged.size() >= MaxShedAddresses)
+    std::erase_if(edge.ShedLogged, [&](const auto &it) { return now - it.second > ShedLogPeriod; });
+  const auto known = edge.ShedLogged.find(address);
+  const bool isKnown = known != edge.ShedLogged.end();
+  if ((isKnown && now - known->second <= ShedLogPeriod) ||
+      (!isKnown && edge.ShedLogged.size() >= MaxShedAddresses))
+    return;
+  edge.ShedLogged[address] = now;
+  logLine(edge, "callers", "client_shed",
+          {{"address", address},
+           {"reason", http::toString(reason)},
+           {"held_bytes", std::to_string(limits::heldBytes(edge.Memory))},
+           {"ceiling_bytes", std::to_string(edge.Memory.Ceiling)},
+           {"connections", std::to_string(http::openConnections(*edge.Callers))}});
+}
+
+/// Sockets that the settings allow.
+std::size_t maxSockets(const Edge &edge) {
+  const std::size_t descriptors = edge.Settings.Edge.MaxDescriptors;
+  return descriptors > FileDescriptors ? descriptors - FileDescriptors : 1;
+}
+
+/// True while enough descriptors are left for calls and other nodes.
+bool mayAccept(const Edge &edge) {
+  std::size_t open = http::openConnections(*edge.Backends) + http::openConnections(*edge.Platform) +
+                     SocketsPerNode * edge.Relay.LiveNodes;
+  for (const http::ServerPtr *it : {&edge.Callers, &edge.Ready, &edge.Entry, &edge.Admin})
+    open += *it == nullptr ? 0 : http::openConnections(**it);
+  return static_cast<double>(open) < MaxAcceptFraction * static_cast<double>(maxSockets(edge));
+}
+
 http::Response answerEntry(Edge &edge, const http::Request &request) {
   const auto question = adapter::readEntryQuestion(request.Head);
   if (!question)
@@ -64,11 +120,16 @@
 /// A server whose requests are answered at once.
 Result<void> startSimple(Edge &edge, http::ServerPtr &server, const std::string &address,
                          Answer answer) {
-  auto started =
-      http::startServer(edge.Loop, edge.Timers, {.Address = address, .MaxConnections = 500},
-                        {.OnRequest = [&edge, &server, answer](http::Request &&request) {
-                          http::respond(*server, request.Id, answer(edge, request));
-                        }});
+  http::ServerOptions options;
+  options.Address = address;
+  options.Limits.Read = {.HeaderBytes = MaxQuestionBytes, .BodyBytes = MaxQuestionBytes};
+  options.MaxConnections = std::min(MaxQuestionConnections, maxSockets(edge) / 4);
+  options.MaxConnectionsPerAddress = options.MaxConnections;
+  options.Memory = &edge.Memory;
+  auto started = http::startServer(edge.Loop, edge.Timers, std::move(options),
+                                   {.OnRequest = [&edge, &server, answer](http::Request &&request) {
+                                     http::respond(*server, request.Id, answer(edge, request));
+                                   }});
   if (!started)
     return tl::make_unexpected(started.error());
   server = std::move(*started);
@@ -84,16 +145,26 @@
 }
 
 Result<void> startServers(Edge &edge) {
+  http::ServerOptions options;
+  options.Address = edge.Settings.Node.CallerListen;
+  options.Limits = limitsOf(relay::CallerLimits{});
+  options.MaxConnections =
+      static_cast<std::size_t>(CallerFraction * static_cast<double>(maxSockets(edge)));
+  options.MaxConnectionsPerAddress =
+      static_cast<std::size_t>(AddressFraction * static_cast<double>(options.MaxConnections));
+  options.Memory = &edge.Memory;
+  options.MayAccept = [&edge] { return mayAccept(edge); };
   auto callers = http::startServer(
-      edge.Loop, edge.Timers,
-      {.Address = edge.Settings.Node.CallerListen, .Limits = limitsOf(relay::CallerLimits{})},
+      edge.Loop, edge.Timers, std::move(options),
       {.OnRequest = [&edge](http::Request &&r) { onCallerRequest(edge, std::move(r)); },
        .OnGone = [&edge](std::uint64_t id) { onCallerGone(edge, id); },
        .OnRejected =
            [&edge](int status) {
              count(edge.Counters, "rejected_message", std::to_string(status));
              logLine(edge, "callers", "rejected_message", {{"status", std::to_string(status)}});
-           }});
+           },
+       .OnShed = [&edge](const std::string &address,
+                         http::Shed reason) { onShed(edge, address, reason); }});
   if (!callers)
     return tl::make_unexpected(callers.error());
   edge.Callers = std::move(*callers);
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <glog/logging.h>
 #include <iostream>
+#include <malloc.h>
 #include <sstream>
 #include <vector>
 
@@ -64,9 +65,14 @@
   return path == nullptr ? "" : path;
 }
 
+// Larger blocks get memory of their own, which goes back to the system when they are freed. Without
+// a fixed value glibc raises it to the size of freed blocks, and bodies then fragment the heap.
+constexpr int MinMappedBytes = 128 * 1024;
+
 } // namespace
 
 int main(int argc, char **argv) {
+  (void)mallopt(M_MMAP_THRESHOLD, MinMappedBytes);
   const auto args =
       docopt::docopt(Usage, {argv + 1, argv + argc}, true, "chervilcoursed " CHERVIL_VERSION);
   const std::string path = settingsPath(args.at("--settings"));
--- a/packages/http/Client.cpp
+++ b/packages/http/Client.cpp
@@ -24,6 +24,9 @@
 // that begins a chunk. A line without end would otherwise be collected without bound.
 constexpr std::size_t MaxUnparsedBytes = 4 * MaxResponseHeadBytes;
 
+// Room in the memory budget that reading a large response further needs.
+constexpr std::uint64_t ReadPauseBytes = std::uint64_t{256} << 10U;
+
 struct Connection {
   Client *Owner = nullptr;
   std::string Address;
@@ -36,8 +39,13 @@
   std::uint64_t CallId = 0;
   TimePoint IdleUntil{};
   std::string In;
+  /// Head of the request, and the body unless it is shared.
   std::string Out;
   std::size_t OutAt = 0;
+  std::shared_ptr<const std::string> SharedBody;
+  std::size_t SharedAt = 0;
+  /// Not read until the memory budget has room.
+  bool ReadPaused = false;
 };
 
 struct ActiveCall {
@@ -73,6 +81,18 @@
 
 TimePoint now() { return net::readNow().Steady; }
 
+bool isSent(const Connection &c) {
+  return c.OutAt == c.Out.size() && (c.SharedBody == nullptr || c.SharedAt == c.SharedBody->size());
+}
+
+/// Writes what the socket takes of the request.
+IoState writeRequest(Connection &c) {
+  const IoState state = writeSome(c.Fd, c.Out, c.OutAt);
+  if (state != IoState::Ok || c.SharedBody == nullptr)
+    return state;
+  return writeSome(c.Fd, *c.SharedBody, c.SharedAt);
+}
+
 void dropConnection(Connection &c) {
   Client &client = *c.Owner;
   ev_io_stop(client.Loop->Raw.get(), &c.ReadWatcher);
@@ -124,13 +144,14 @@
   const Duration idle = idleTimeOf(client, call.Reader->Head.Fields);
   if (!link.In.empty())
     ++client.Counters.TrailingBytes;
-  const bool keep = call.Reader->KeepAlive && link.In.empty() && link.OutAt == link.Out.size() &&
+  const bool keep = call.Reader->KeepAlive && link.In.empty() && isSent(link) &&
                     idle > Duration{0} &&
                     client.Idle[link.Address].size() < client.Options.MaxIdlePerAddress;
   if (keep) {
     link.CallId = 0;
     link.Out.clear();
     link.OutAt = 0;
+    link.SharedBody.reset();
     link.IdleUntil = now() + idle;
     client.Idle[link.Address].push_back(&link);
   }
@@ -234,6 +255,23 @@
   endCall(client, id, nothingSent ? Failure::NotSent : Failure::Broken);
 }
 
+/// Leaves the rest of a large response in the socket while the memory budget has no room for it.
+void pauseIfCrowded(const Client &client, ActiveCall &call) {
+  if (client.Options.Memory == nullptr || call.Received <= limits::SmallBytes ||
+      limits::hasRoom(*client.Options.Memory, ReadPauseBytes))
+    return;
+  call.Link->ReadPaused = true;
+  ev_io_stop(client.Loop->Raw.get(), &call.Link->ReadWatcher);
+}
+
+void resumePaused(Client &client) {
+  for (const auto &[c, owner] : client.Connections)
+    if (c->ReadPaused && limits::hasRoom(*client.Options.Memory, ReadPauseBytes)) {
+      c->ReadPaused = false;
+      ev_io_start(client.Loop->Raw.get(), &c->ReadWatcher);
+    }
+}
+
 void onReadable(Connection &c) {
   const IoState state = readSome(c.Fd, c.In);
   if (state == IoState::Blocked)
@@ -248,7 +286,11 @@
     dropConnection(c);
     return;
   }
-  readResponse(*c.Owner, c.CallId);
+  Client &client = *c.Owner;
+  const std::uint64_t id = c.CallId;
+  readResponse(client, id);
+  if (const auto call = client.Calls.find(id); call != client.Calls.end())
+    pauseIfCrowded(client, *call->second);
 }
 
 bool isOverdue(const ActiveCall &call, TimePoint at) {
@@ -273,7 +315,7 @@
     c.Connected = true;
     ev_io_start(client.Loop->Raw.get(), &c.ReadWatcher);
   }
-  const IoState state = writeSome(c.Fd, c.Out, c.OutAt);
+  const IoState state = writeRequest(c);
   if (state == IoState::Failed) {
     endCall(client, c.CallId, c.OutAt == 0 ? Failure::NotSent : Failure::Broken);
     return;
@@ -334,18 +376,19 @@
   return c;
 }
 
+/// Head of a request, and its body unless that is shared.
 std::string requestText(const Call &call) {
+  const std::size_t length = call.SharedBody ? call.SharedBody->size() : call.Body.size();
   std::string out = call.Head.Method + " " + call.Head.Target + " HTTP/1.1\r\n";
   for (const auto &[name, value] : call.Head.Fields)
     out.append(name).append(": ").append(value).append("\r\n");
   if (find(call.Head.Fields, "Host") == nullptr)
     out.append("Host: ").append(call.Address).append("\r\n");
-  const bool hasBody =
-      !call.Body.empty() ||
-      (call.Head.Method != "GET" && call.Head.Method != "HEAD" && call.Head.Method != "DELETE");
+  const bool hasBody = length > 0 || (call.Head.Method != "GET" && call.Head.Method != "HEAD" &&
+                                      call.Head.Method != "DELETE");
   if (hasBody)
-    out.append("Content-Length: ").append(std::to_string(call.Body.size())).append("\r\n");
-  return out.append("\r\n").append(call.Body);
+    out.append("Content-Length: ").append(std::to_string(length)).append("\r\n");
+  return out.append("\r\n").append(call.SharedBody ? std::string_view{} : call.Body);
 }
 
 void sweep(Client &client) {
@@ -361,6 +404,7 @@
   }
   for (const auto &[id, failure] : late)
     endCall(client, id, failure);
+  resumePaused(client);
   std::vector<Connection *> old;
   for (const auto &[address, idle] : client.Idle)
     for (Connection *c : idle)
@@ -424,12 +468,14 @@
     link->CallId = id;
     link->Out = requestText(call);
     link->OutAt = 0;
+    link->SharedBody = std::move(call.SharedBody);
+    link->SharedAt = 0;
     if (call.ResetIfIncomplete)
       setResetOnClose(link->Fd, true);
     // Written from the loop; errors are reported there and not from within this call.
     ev_io_start(client.Loop->Raw.get(), &link->WriteWatcher);
   }
-  call.Body.clear();
+  std::string().swap(call.Body);
   active->What = std::move(call);
   client.Calls.emplace(id, std::move(active));
   if (link == nullptr)
@@ -458,6 +504,7 @@
 }
 
 std::size_t openCalls(const Client &client) { return client.Calls.size(); }
+std::size_t openConnections(const Client &client) { return client.Connections.size(); }
 const ClientCounters &counters(const Client &client) { return client.Counters; }
 
 } // namespace chervil::http
--- a/packages/http/Client.h
+++ b/packages/http/Client.h
@@ -9,6 +9,7 @@
 
 #include "base/Time.h"
 #include "http/Fields.h"
+#include "limits/MemoryBudget.h"
 #include "net/Loop.h"
 #include "net/TimerService.h"
 
@@ -31,6 +32,9 @@
   std::string Address;
   RequestHead Head;
   std::string Body;
+  /// Sent instead of Body if set. A caller that keeps the body for repeats shares it, so that it is
+  /// held once.
+  std::shared_ptr<const std::string> SharedBody;
   std::chrono::milliseconds ConnectTimeout{1000};
   /// Bound on the whole call; zero for none. The request is not begun to be sent later, also by a
   /// process that was suspended meanwhile.
@@ -84,6 +88,9 @@
   /// An idle connection is closed after this time, or earlier when the server's Keep-Alive field
   /// says so.
   std::chrono::milliseconds IdleTimeout{4000};
+  /// While a large response does not fit into this budget, it is not read further; null for no
+  /// bound. The receiver of the response charges it. It must outlive the client.
+  const limits::MemoryBudget *Memory = nullptr;
 };
 
 struct ClientCounters {
@@ -114,6 +121,7 @@
 void forgetAddress(Client &client, const std::string &address);
 
 std::size_t openCalls(const Client &client);
+std::size_t openConnections(const Client &client);
 const ClientCounters &counters(const Client &client);
 
 } // namespace chervil::http
--- a/packages/http/Reader.cpp
+++ b/packages/http/Reader.cpp
@@ -1,5 +1,6 @@
 #include "http/Reader.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
@@ -15,6 +16,15 @@
 
 std::string toText(BeastView view) { return {view.data(), view.size()}; }
 
+/// Appends part of a body. Grows by a quarter, because the unused part of a buffer that is doubled
+/// would take as much memory as the body.
+void append(std::string &to, BeastView bytes) {
+  constexpr std::size_t MinGrowth = 1024;
+  if (to.size() + bytes.size() > to.capacity())
+    to.reserve(to.size() + std::max(bytes.size(), to.size() / 4 + MinGrowth));
+  to.append(bytes.data(), bytes.size());
+}
+
 /// Collects a message into a Message with Head and Body.
 template <bool IsRequest, typename Message> struct Collector : beast::basic_parser<IsRequest> {
   Message *Target = nullptr;
@@ -39,6 +49,9 @@
   }
   void on_field_impl(beast::field field, BeastView name, BeastView value, ErrorCode &ec) override {
     ec = {};
+    // A trailer is not a field of the head: it must not frame the message or be forwarded as one.
+    if (Target->State != ReadState::Head)
+      return;
     if (field == beast::field::content_length) {
       if (HasLength)
         ec = beast::error::bad_content_length;
@@ -61,13 +74,13 @@
   }
   std::size_t on_body_impl(BeastView body, ErrorCode &ec) override {
     ec = {};
-    Target->Body.append(body.data(), body.size());
+    append(Target->Body, body);
     return body.size();
   }
   void on_chunk_header_impl(std::uint64_t, BeastView, ErrorCode &ec) override { ec = {}; }
   std::size_t on_chunk_body_impl(std::uint64_t, BeastView body, ErrorCode &ec) override {
     ec = {};
-    Target->Body.append(body.data(), body.size());
+    append(Target->Body, body);
     return body.size();
   }
   void on_finish_impl(ErrorCode &ec) override { ec = {}; }
@@ -118,7 +131,8 @@
 
 } // namespace detail
 
-RequestReader::RequestReader(const ReadLimits &limits) : Parser(new detail::RequestParser) {
+RequestReader::RequestReader(const ReadLimits &limits)
+    : Limits(limits), Parser(new detail::RequestParser) {
   Parser->header_limit(limits.HeaderBytes);
   Parser->body_limit(limits.BodyBytes);
   Parser->eager(true);
@@ -134,7 +148,43 @@
 }
 
 std::size_t feed(RequestReader &reader, std::string_view bytes) {
-  return detail::feedParser(reader, bytes);
+  const bool hadHead = reader.State != ReadState::Head;
+  const std::size_t used = detail::feedParser(reader, bytes);
+  if (!hadHead)
+    return used;
+  reader.BodyWireBytes += used;
+  // The parser takes a line that begins a chunk, or the trailers, only when they are complete.
+  const bool tooLong =
+      reader.State == ReadState::Body && bytes.size() - used > reader.Limits.HeaderBytes;
+  const bool tooMuch = reader.BodyWireBytes >
+                       reader.Limits.HeaderBytes + reader.Body.size() * (MaxFramingPerByte + 1);
+  if (reader.State != ReadState::Failed && (tooLong || tooMuch)) {
+    reader.State = ReadState::Failed;
+    reader.ErrorStatus = 431;
+  }
+  return used;
+}
+
+std::optional<std::uint64_t> announcedLength(const RequestReader &reader) {
+  if (reader.State == ReadState::Head)
+    return std::nullopt;
+  const auto length = reader.Parser->content_length();
+  return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
+std::uint64_t heldBytes(const RequestHead &head) {
+  std::uint64_t bytes = sizeof(head) + head.Method.capacity() + head.Target.capacity() +
+                        head.Fields.capacity() * sizeof(Fields::value_type);
+  // Short texts are stored within the string itself.
+  constexpr std::size_t inPlace = 15;
+  for (const auto &[name, value] : head.Fields)
+    for (const std::string *it : {&name, &value})
+      bytes += it->capacity() > inPlace ? it->capacity() : 0;
+  return bytes;
+}
+
+std::uint64_t heldBytes(const RequestReader &reader) {
+  return heldBytes(reader.Head) + reader.Body.capacity();
 }
 
 std::size_t feed(ResponseReader &reader, std::string_view bytes) {
--- a/packages/http/Reader.h
+++ b/packages/http/Reader.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -24,6 +25,10 @@
   std::uint64_t BodyBytes = std::uint64_t{4} << 20U;
 };
 
+/// Bytes of framing that a chunked body may have per byte of payload, in addition to HeaderBytes.
+/// Chunks of one byte need 5.
+inline constexpr std::uint64_t MaxFramingPerByte = 16;
+
 namespace detail {
 struct RequestParser;
 struct ResponseParser;
@@ -43,13 +48,24 @@
   int ErrorStatus = 400;
   /// The connection may carry another request; valid with Done.
   bool KeepAlive = true;
+  ReadLimits Limits;
+  /// Bytes used after the head, with the framing of chunks and the trailers.
+  std::uint64_t BodyWireBytes = 0;
   std::unique_ptr<detail::RequestParser, detail::ParserDeleter> Parser;
 };
 
 /// Reads what it can and returns the number of bytes used. The unused rest must be passed again,
-/// followed by more.
+/// followed by more. Trailers count towards the limit of the head and are not kept.
 std::size_t feed(RequestReader &reader, std::string_view bytes);
 
+/// Length that the head announces; empty for a chunked body and before the head is complete.
+std::optional<std::uint64_t> announcedLength(const RequestReader &reader);
+
+/// Bytes that the reader holds, with an estimate of the overhead of the fields.
+std::uint64_t heldBytes(const RequestReader &reader);
+/// The same for a head.
+std::uint64_t heldBytes(const RequestHead &head);
+
 /// Largest head of a response.
 inline constexpr std::uint32_t MaxResponseHeadBytes = 16 * 1024;
 
--- a/packages/http/Server.cpp
+++ b/packages/http/Server.cpp
@@ -4,7 +4,9 @@
 #include "net/SocketAddress.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <cstdio>
+#include <optional>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <unordered_map>
@@ -19,6 +21,10 @@
 // Bytes of later requests that are read while one is served. Reading goes on because only a read
 // shows that the caller left.
 constexpr std::size_t MaxReadAhead = 64 * 1024;
+// An empty buffer keeps at most this capacity.
+constexpr std::size_t MaxIdleBuffer = 4096;
+// Retry-After of a request that does not fit into the memory budget: most requests end within it.
+constexpr const char *NoMemoryRetryAfter = "1";
 // Time in which a caller may close its side after the last response, so that unread bytes do not
 // reset the connection before the response is read.
 constexpr Duration LingerTime = 1s;
@@ -47,6 +53,15 @@
   /// Since the present phase, or the last byte of a body.
   TimePoint Since{};
   TimePoint Started{};
+  /// When the client last took bytes of the response, or the response was given.
+  TimePoint Wrote{};
+  /// IP address of the client.
+  std::string Address;
+  /// Bytes of the request that is being served.
+  std::uint64_t RequestBytes = 0;
+  /// What the memory budget counts for this connection.
+  std::uint64_t ChargedRequest = 0;
+  std::uint64_t ChargedResponse = 0;
   bool CloseAfter = false;
   bool Answered = false;
   bool Broken = false;
@@ -67,6 +82,8 @@
   std::uint64_t NextId = 1;
   std::unordered_map<Connection *, std::unique_ptr<Connection>> Connections;
   std::unordered_map<std::uint64_t, Connection *> Requests;
+  std::unordered_map<std::string, std::size_t> ConnectionsByAddress;
+  bool AcceptPaused = false;
 };
 
 namespace {
@@ -75,12 +92,45 @@
 
 bool hasOutput(const Connection &c) { return c.OutAt < c.Out.size(); }
 
+/// Frees a buffer that is empty; one that was large stays large otherwise.
+void freeIfEmpty(std::string &buf) {
+  if (buf.empty() && buf.capacity() > MaxIdleBuffer)
+    std::string().swap(buf);
+}
+
+/// Reports to the memory budget what the connection holds now.
+void charge(Connection &c) {
+  limits::MemoryBudget *memory = c.Owner->Options.Memory;
+  if (memory == nullptr)
+    return;
+  freeIfEmpty(c.In);
+  freeIfEmpty(c.Out);
+  const std::uint64_t request =
+      sizeof(c) + c.In.capacity() + c.RequestBytes + (c.Reader ? heldBytes(*c.Reader) : 0);
+  limits::adjust(*memory, limits::MemoryUse::Requests, c.ChargedRequest, request);
+  limits::adjust(*memory, limits::MemoryUse::Responses, c.ChargedResponse, c.Out.capacity());
+  c.ChargedRequest = request;
+  c.ChargedResponse = c.Out.capacity();
+}
+
+void noteShed(const Connection &c, Shed reason) {
+  if (c.Owner->Events.OnShed)
+    c.Owner->Events.OnShed(c.Address, reason);
+}
+
 /// Removes the connection; reports the caller as gone if its request is not answered.
 void drop(Connection &c) {
   Server &server = *c.Owner;
   ev_io_stop(server.Loop->Raw.get(), &c.ReadWatcher);
   ev_io_stop(server.Loop->Raw.get(), &c.WriteWatcher);
   close(c.Fd);
+  if (server.Options.Memory != nullptr) {
+    limits::adjust(*server.Options.Memory, limits::MemoryUse::Requests, c.ChargedRequest, 0);
+    limits::adjust(*server.Options.Memory, limits::MemoryUse::Responses, c.ChargedResponse, 0);
+  }
+  if (const auto count = server.ConnectionsByAddress.find(c.Address);
+      count != server.ConnectionsByAddress.end() && --count->second == 0)
+    server.ConnectionsByAddress.erase(count);
   const std::uint64_t id = c.State == Phase::Serving ? c.Id : 0;
   const auto it = server.Connections.find(&c);
   const std::unique_ptr<Connection> keep = std::move(it->second);
@@ -107,6 +157,8 @@
   c.Owner->Requests.erase(c.Id);
   c.Id = 0;
   c.Answered = false;
+  c.RequestBytes = 0;
+  charge(c);
   if (c.CloseAfter) {
     linger(c);
     return;
@@ -125,22 +177,26 @@
 
 /// Writes what the socket takes. Returns false if the connection was dropped.
 bool flush(Connection &c) {
+  const std::size_t before = c.OutAt;
   const IoState state = writeSome(c.Fd, c.Out, c.OutAt);
   if (state == IoState::Failed) {
     drop(c);
     return false;
   }
+  if (c.OutAt > before)
+    c.Wrote = now();
   if (state == IoState::Ok) {
     c.Out.clear();
     c.OutAt = 0;
     ev_io_stop(c.Owner->Loop->Raw.get(), &c.WriteWatcher);
   } else {
-    if (c.Out.size() - c.OutAt > c.Owner->Options.MaxPendingBytes) {
+    if (!c.Answered && c.Out.size() - c.OutAt > c.Owner->Options.MaxPendingStreamBytes) {
       drop(c);
       return false;
     }
     ev_io_start(c.Owner->Loop->Raw.get(), &c.WriteWatcher);
   }
+  charge(c);
   finishWritten(c);
   return true;
 }
@@ -168,16 +224,67 @@
   out.append(size, static_cast<std::size_t>(n)).append(bytes).append("\r\n");
 }
 
-/// Answers a message that cannot be read, and closes.
-void reject(Connection &c, int status) {
+/// Answers a message that cannot be read or taken, and closes. Frees what was read of it.
+void reject(Connection &c, int status, Fields fields = {}) {
   Server &server = *c.Owner;
   c.CloseAfter = true;
+  c.Reader.reset();
+  c.In.clear();
   c.State = Phase::Serving;
   c.Id = server.NextId++;
   server.Requests.emplace(c.Id, &c);
   if (server.Events.OnRejected)
     server.Events.OnRejected(status);
-  respond(server, c.Id, {.Status = status, .Fields = {}, .Body = {}, .Close = true});
+  respond(server, c.Id, {.Status = status, .Fields = std::move(fields), .Body = {}, .Close = true});
+}
+
+/// Refuses a request that does not fit into the memory budget. It has not run.
+void rejectForMemory(Connection &c, Shed reason) {
+  noteShed(c, reason);
+  reject(c, 503, {{"Retry-After", NoMemoryRetryAfter}});
+}
+
+/// What the connection holds for a request that is being read or a response that waits; empty if
+/// it is not to be evicted.
+std::optional<limits::MemoryHolder> evictable(const Connection &c) {
+  if (c.State == Phase::Reading)
+    return limits::MemoryHolder{c.ChargedRequest, c.Started, c.Since, false};
+  if (c.State == Phase::Serving && hasOutput(c))
+    return limits::MemoryHolder{c.ChargedRequest + c.ChargedResponse, c.Started, c.Wrote, true};
+  return std::nullopt;
+}
+
+/// Frees memory until the budget holds, or nothing may be evicted any more.
+void evict(Server &server) {
+  const limits::MemoryBudget *memory = server.Options.Memory;
+  if (memory == nullptr)
+    return;
+  while (limits::excessBytes(*memory) > 0) {
+    std::vector<Connection *> connections;
+    std::vector<limits::MemoryHolder> holders;
+    for (const auto &[c, owner] : server.Connections)
+      if (const auto it = evictable(*c)) {
+        connections.push_back(c);
+        holders.push_back(*it);
+      }
+    const auto chosen = limits::chooseEviction(*memory, holders, net::readNow());
+    if (!chosen)
+      return;
+    Connection &c = *connections[*chosen];
+    if (holders[*chosen].IsResponse) {
+      noteShed(c, Shed::Stalled);
+      drop(c);
+    } else {
+      const bool stalled = now() - c.Since >= limits::StalledRequestTime;
+      rejectForMemory(c, stalled ? Shed::Stalled : Shed::NoMemory);
+    }
+  }
+}
+
+/// Returns true if a body of the announced length fits into the memory budget.
+bool fits(const Connection &c) {
+  const limits::MemoryBudget *memory = c.Owner->Options.Memory;
+  return memory == nullptr || limits::hasRoom(*memory, announcedLength(*c.Reader).value_or(0));
 }
 
 void handOn(Connection &c) {
@@ -186,8 +293,10 @@
   c.Id = server.NextId++;
   c.CloseAfter = !c.Reader->KeepAlive;
   server.Requests.emplace(c.Id, &c);
+  c.RequestBytes = heldBytes(*c.Reader);
   Request request{c.Id, std::move(c.Reader->Head), std::move(c.Reader->Body), c.Started};
   c.Reader.reset();
+  charge(c);
   server.Events.OnRequest(std::move(request));
 }
 
@@ -205,6 +314,10 @@
     reject(c, c.Reader->ErrorStatus);
     return;
   }
+  if (!hadHead && c.Reader->State != ReadState::Head && !fits(c)) {
+    rejectForMemory(c, Shed::NoMemory);
+    return;
+  }
   if (c.Reader->State == ReadState::Done) {
     handOn(c);
     return;
@@ -248,21 +361,54 @@
     return;
   }
   if (c.State == Phase::Serving) {
-    if (c.In.size() > MaxReadAhead) {
+    charge(c);
+    const limits::MemoryBudget *memory = server.Options.Memory;
+    const bool crowded = memory != nullptr && !limits::hasRoom(*memory, MaxReadAhead);
+    if (c.In.size() > MaxReadAhead || (crowded && !c.In.empty())) {
       c.ReadPaused = true;
       ev_io_stop(server.Loop->Raw.get(), &c.ReadWatcher);
     }
     return;
   }
   readRequests(c);
+  if (server.Connections.contains(&c))
+    charge(c);
+  evict(server);
+}
+
+/// Stops accepting until the next sweep. A descriptor that cannot be had would otherwise wake the
+/// loop again and again.
+void pauseAccept(Server &server) {
+  ev_io_stop(server.Loop->Raw.get(), &server.Accept);
+  server.AcceptPaused = true;
+}
+
+bool hasConnectionFor(const Server &server, const std::string &address) {
+  const auto it = server.ConnectionsByAddress.find(address);
+  return it == server.ConnectionsByAddress.end() ||
+         it->second < server.Options.MaxConnectionsPerAddress;
 }
 
 void onAccept(Server &server) {
   for (;;) {
-    const int fd = accept4(server.Fd, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
-    if (fd < 0)
+    if (server.Options.MayAccept && !server.Options.MayAccept()) {
+      pauseAccept(server);
+      return;
+    }
+    sockaddr_in from{};
+    socklen_t n = sizeof(from);
+    const int fd =
+        accept4(server.Fd, reinterpret_cast<sockaddr *>(&from), &n, SOCK_CLOEXEC | SOCK_NONBLOCK);
+    if (fd < 0) {
+      if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM)
+        pauseAccept(server);
       return;
-    if (server.Connections.size() >= server.Options.MaxConnections) {
+    }
+    const std::string address = net::formatIp(from);
+    const bool isFull = server.Connections.size() >= server.Options.MaxConnections;
+    if (isFull || !hasConnectionFor(server, address)) {
+      if (server.Events.OnShed)
+        server.Events.OnShed(address, Shed::TooManyConnections);
       close(fd);
       continue;
     }
@@ -270,6 +416,8 @@
     auto it = std::make_unique<Connection>();
     it->Owner = &server;
     it->Fd = fd;
+    it->Address = address;
+    ++server.ConnectionsByAddress[address];
     it->Since = now();
     ev_io_init(
         &it->ReadWatcher,
@@ -286,29 +434,55 @@
         fd, EV_WRITE);
     it->ReadWatcher.data = it->WriteWatcher.data = it.get();
     ev_io_start(server.Loop->Raw.get(), &it->ReadWatcher);
+    charge(*it);
     server.Connections.emplace(it.get(), std::move(it));
   }
 }
 
+/// True if the body being read arrives so slowly that its connection is not kept for it.
+bool isBodyTooSlow(const Connection &c, TimePoint at) {
+  const ServerLimits &limits = c.Owner->Options.Limits;
+  if (c.State != Phase::Reading || c.Reader->State != ReadState::Body ||
+      at - c.Started <= limits.IdleTimeout)
+    return false;
+  const double seconds = std::chrono::duration<double>(at - c.Started).count();
+  return static_cast<double>(c.Reader->Body.size()) <
+         static_cast<double>(limits.MinBodyBytesPerSecond) * seconds;
+}
+
 void sweep(Server &server) {
   const TimePoint at = now();
   std::vector<Connection *> late;
   std::vector<Connection *> slow;
+  std::vector<Connection *> stalled;
   for (const auto &[c, owner] : server.Connections) {
     const Duration age = at - c->Since;
     const bool readsHead = c->State == Phase::Reading && c->Reader->State == ReadState::Head;
     const bool waits = c->State == Phase::Idle || c->State == Phase::Reading;
-    if (readsHead && at - c->Started > server.Options.Limits.HeaderTimeout)
+    if ((readsHead && at - c->Started > server.Options.Limits.HeaderTimeout) ||
+        isBodyTooSlow(*c, at))
       slow.push_back(c);
+    else if (c->State == Phase::Serving && hasOutput(*c) &&
+             at - c->Wrote > server.Options.Limits.IdleTimeout)
+      stalled.push_back(c);
     else if ((waits && age > server.Options.Limits.IdleTimeout) ||
              (c->State == Phase::Lingering && age > LingerTime))
       late.push_back(c);
   }
   for (Connection *c : late)
     drop(*c);
+  for (Connection *c : stalled) {
+    noteShed(*c, Shed::SlowReader);
+    drop(*c);
+  }
   for (Connection *c : slow)
     if (server.Connections.contains(c))
       reject(*c, 408);
+  evict(server);
+  if (server.AcceptPaused && server.Fd >= 0) {
+    server.AcceptPaused = false;
+    ev_io_start(server.Loop->Raw.get(), &server.Accept);
+  }
 }
 
 Connection *connectionOf(Server &server, std::uint64_t id) {
@@ -318,6 +492,20 @@
 
 } // namespace
 
+const char *toString(Shed reason) {
+  switch (reason) {
+  case Shed::NoMemory:
+    return "no_memory";
+  case Shed::Stalled:
+    return "stalled";
+  case Shed::TooManyConnections:
+    return "too_many_connections";
+  case Shed::SlowReader:
+    return "slow_reader";
+  }
+  return "unknown";
+}
+
 void ServerDeleter::operator()(Server *server) const {
   stopListening(*server);
   net::cancel(*server->Timers, server->Sweep);
@@ -397,6 +585,7 @@
                      "Content-Length: " + std::to_string(response.Body.size()) + "\r\n");
   c->Out += response.Body;
   c->Answered = true;
+  c->Wrote = now();
   flush(*c);
 }
 
@@ -406,6 +595,7 @@
     return;
   c->Out += headText(server, *c, response, "Transfer-Encoding: chunked\r\n");
   appendChunk(c->Out, response.Body);
+  c->Wrote = now();
   flush(*c);
 }
 
@@ -413,6 +603,8 @@
   Connection *c = connectionOf(server, id);
   if (c == nullptr)
     return;
+  if (!hasOutput(*c))
+    c->Wrote = now();
   appendChunk(c->Out, bytes);
   flush(*c);
 }
--- a/packages/http/Server.h
+++ b/packages/http/Server.h
@@ -10,6 +10,7 @@
 #include "base/Error.h"
 #include "base/Time.h"
 #include "http/Reader.h"
+#include "limits/MemoryBudget.h"
 #include "net/Loop.h"
 #include "net/TimerService.h"
 
@@ -41,8 +42,11 @@
   ReadLimits Read;
   /// Bound on the time in which a request's head arrives.
   std::chrono::milliseconds HeaderTimeout{3000};
-  /// Bound on the time between two requests on a connection, and between two reads of a body.
+  /// Bound on the time between two requests on a connection, between two reads of a body, and
+  /// between two writes of a response.
   std::chrono::milliseconds IdleTimeout{15000};
+  /// A body that arrives more slowly than this on average is ended after IdleTimeout.
+  std::uint64_t MinBodyBytesPerSecond = 1024;
 };
 
 struct ServerOptions {
@@ -50,16 +54,38 @@
   std::string Address;
   ServerLimits Limits;
   std::size_t MaxConnections = 3000;
-  /// A caller that has taken none of this many waiting bytes is cut, which bounds memory.
-  std::size_t MaxPendingBytes = std::size_t{2} << 20U;
+  /// Connections that one client address may have open.
+  std::size_t MaxConnectionsPerAddress = 3000;
+  /// A caller of a stream that leaves this many bytes waiting is cut.
+  std::size_t MaxPendingStreamBytes = std::size_t{2} << 20U;
+  /// What the server holds is charged to it; null for no bound. It must outlive the server.
+  limits::MemoryBudget *Memory = nullptr;
+  /// Connections are accepted only while this returns true; absent for always.
+  std::function<bool()> MayAccept;
 };
 
+/// Why a server turned a client away to protect the process.
+enum class Shed : std::uint8_t {
+  /// The request did not fit into the memory budget; answered with 503.
+  NoMemory,
+  /// A request or response that had stopped progressing was closed to free memory.
+  Stalled,
+  /// The client held MaxConnectionsPerAddress connections.
+  TooManyConnections,
+  /// The client took no bytes of its response for IdleTimeout.
+  SlowReader,
+};
+
+const char *toString(Shed reason);
+
 struct ServerEvents {
   std::function<void(Request &&)> OnRequest;
   /// The caller left before its response was complete; the id is no longer valid.
   std::function<void(std::uint64_t id)> OnGone;
   /// A message that cannot be read was answered with this status and its connection closed.
   std::function<void(int status)> OnRejected;
+  /// A client was turned away; `address` is its IP address.
+  std::function<void(const std::string &address, Shed reason)> OnShed;
 };
 
 /// Definition is internal to Server.cpp.
--- a/packages/http/ServerTest.cpp
+++ b/packages/http/ServerTest.cpp
@@ -108,7 +108,7 @@
 // Guards against memory that grows with a caller that takes nothing of its answer.
 BOOST_AUTO_TEST_CASE(CallerThatTakesNothingIsCut) {
   ServerOptions options;
-  options.MaxPendingBytes = 100'000;
+  options.MaxPendingStreamBytes = 100'000;
   Fixture f(options);
   const int fd = connectPlain(port(*f.It));
   sendText(fd, Get);
--- a/packages/net/SocketAddress.cpp
+++ b/packages/net/SocketAddress.cpp
@@ -23,9 +23,13 @@
 }
 
 std::string formatAddress(const sockaddr_in &address) {
+  return formatIp(address) + ":" + std::to_string(ntohs(address.sin_port));
+}
+
+std::string formatIp(const sockaddr_in &address) {
   char buf[INET_ADDRSTRLEN] = {};
   inet_ntop(AF_INET, &address.sin_addr, buf, sizeof(buf));
-  return std::string(buf) + ":" + std::to_string(ntohs(address.sin_port));
+  return buf;
 }
 
 } // namespace chervil::net
--- a/packages/net/SocketAddress.h
+++ b/packages/net/SocketAddress.h
@@ -16,6 +16,9 @@
 /// The inverse of parseAddress().
 std::string formatAddress(const sockaddr_in &address);
 
+/// The IP address alone.
+std::string formatIp(const sockaddr_in &address);
+
 } // namespace chervil::net
 
 #endif
