--- a/packages/http/Reader.cpp
+++ b/packages/http/Reader.cpp
@@ -14,14 +14,22 @@
 namespace detail {
 namespace {
 
+constexpr std::uint64_t UnknownLength = std::numeric_limits<std::uint64_t>::max();
+
 std::string toText(BeastView view) { return {view.data(), view.size()}; }
 
-/// Appends part of a body. Grows by a quarter, because the unused part of a buffer that is doubled
-/// would take as much memory as the body.
-void append(std::string &to, BeastView bytes) {
+/// Appends part of a body of at most `length` bytes. std::string doubles its buffer, whose unused
+/// part would count as much as the body; this grows by a quarter.
+void append(std::string &to, BeastView bytes, std::uint64_t length) {
   constexpr std::size_t MinGrowth = 1024;
-  if (to.size() + bytes.size() > to.capacity())
-    to.reserve(to.size() + std::max(bytes.size(), to.size() / 4 + MinGrowth));
+  const std::size_t needed = to.size() + bytes.size();
+  if (needed > to.capacity()) {
+    const std::size_t grown = to.size() + to.size() / 4 + MinGrowth;
+    std::string larger;
+    larger.reserve(std::max<std::size_t>(needed, std::min<std::uint64_t>(grown, length)));
+    larger.append(to);
+    to.swap(larger);
+  }
   to.append(bytes.data(), bytes.size());
 }
 
@@ -74,13 +82,13 @@
   }
   std::size_t on_body_impl(BeastView body, ErrorCode &ec) override {
     ec = {};
-    append(Target->Body, body);
+    append(Target->Body, body, this->content_length().value_or(UnknownLength));
     return body.size();
   }
   void on_chunk_header_impl(std::uint64_t, BeastView, ErrorCode &ec) override { ec = {}; }
   std::size_t on_chunk_body_impl(std::uint64_t, BeastView body, ErrorCode &ec) override {
     ec = {};
-    append(Target->Body, body);
+    append(Target->Body, body, UnknownLength);
     return body.size();
   }
   void on_finish_impl(ErrorCode &ec) override { ec = {}; }
--- a/packages/http/Server.cpp
+++ b/packages/http/Server.cpp
@@ -357,7 +357,9 @@
     return;
   }
   if (c.State == Phase::Lingering) {
+    // What is thrown away must not leave a large buffer behind.
     c.In.clear();
+    freeIfEmpty(c.In);
     return;
   }
   if (c.State == Phase::Serving) {
--- a/tools/lib/clients/stand.py
+++ b/tools/lib/clients/stand.py
@@ -36,8 +36,9 @@
 
 
 class Stand:
-    def __init__(self, program):
+    def __init__(self, program, memory_mb=MEMORY_MB, descriptors=DESCRIPTORS):
         self.program = program
+        self.limits = {"edge.memory_mb": memory_mb, "edge.max_descriptors": descriptors}
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="chervil-clients-"))
         self.begin = time.monotonic()
         self.store = Store(self)
@@ -51,7 +52,7 @@
         return time.monotonic() - self.begin
 
     async def __aenter__(self):
-        backend = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=1 << 20)
+        backend = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=1 << 20, backlog=4096)
         self.backend = backend
         self._configure()
         self.tasks.append(asyncio.create_task(self._heartbeats(backend.sockets[0].getsockname()[1])))
@@ -61,7 +62,7 @@
         with (self.directory / "node.log").open("w") as log:
             self.process = await asyncio.create_subprocess_exec(
                 str(self.program), "--settings", str(settings),
-                "--set", f"edge.memory_mb={MEMORY_MB}", "--set", f"edge.max_descriptors={DESCRIPTORS}",
+                *[word for it in self.limits.items() for word in ("--set", "%s=%d" % it)],
                 stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log)
         self.tasks.append(asyncio.create_task(self._measure()))
         end = self.now() + START_TIMEOUT
