--- a/packages/http/ReaderTest.cpp
+++ b/packages/http/ReaderTest.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
+#include <utility>
 
 using namespace chervil::http;
 
@@ -136,4 +137,60 @@
   }));
 }
 
+// Guards against fields behind a body that pass for fields of the head, at a server or at a client.
+BOOST_AUTO_TEST_CASE(TrailersAreNotKept) {
+  const std::string body = "Transfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\nX-Api-Key: k\r\n"
+                           "Connection: close\r\n\r\n";
+  const auto request = readAll("POST / HTTP/1.1\r\nHost: h\r\n" + body);
+  BOOST_TEST((request.State == ReadState::Done));
+  BOOST_TEST(request.Body == "b");
+  BOOST_TEST(request.Head.Fields.size() == 2U);
+  ResponseReader response;
+  (void)feed(response, "HTTP/1.1 200 OK\r\n" + body);
+  BOOST_TEST((response.State == ReadState::Done));
+  BOOST_TEST(response.Head.Fields.size() == 1U);
+}
+
+/// Feeds `part` again and again until the reader is done or fails; returns the bytes that it has
+/// left unread at most.
+std::size_t feedEndlessly(RequestReader &reader, const std::string &part) {
+  std::string in;
+  std::size_t most = 0;
+  for (int i = 0; i < 10'000 && reader.State == ReadState::Body; ++i) {
+    in += part;
+    in.erase(0, feed(reader, in));
+    most = std::max(most, in.size());
+  }
+  return most;
+}
+
+// Guards against memory that grows with trailers, chunk extensions or the framing of empty chunks.
+BOOST_AUTO_TEST_CASE(FramingIsBounded) {
+  const ReadLimits limits{.HeaderBytes = 1000, .BodyBytes = 1 << 20};
+  const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const auto &[begin, part] : {std::pair<std::string, std::string>("0\r\n", "T: v\r\n"),
+                                    {"1;", "extension"},
+                                    {"", "1;" + std::string(500, 'x') + "\r\nb\r\n"},
+                                    {"000", "0"}}) {
+    RequestReader reader(limits);
+    (void)feed(reader, head);
+    (void)feed(reader, begin);
+    BOOST_TEST(feedEndlessly(reader, begin + part) <= 2 * limits.HeaderBytes, part);
+    BOOST_TEST((reader.State == ReadState::Failed), part);
+  }
+}
+
+// Guards against a legal body that is refused for its framing: chunks of one byte.
+BOOST_AUTO_TEST_CASE(SingleByteChunksAreRead) {
+  std::string text = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (int i = 0; i < 100'000; ++i)
+    text += "1\r\nb\r\n";
+  RequestReader reader({.HeaderBytes = 1000, .BodyBytes = 100'000});
+  const std::size_t used = feed(reader, text);
+  (void)feed(reader, text.substr(used) + "0\r\n\r\n");
+  BOOST_TEST((reader.State == ReadState::Done));
+  BOOST_TEST(reader.Body.size() == 100'000U);
+  BOOST_TEST(reader.Body.capacity() <= 2U * 100'000U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/http/ServerTest.cpp
+++ b/packages/http/ServerTest.cpp
@@ -14,6 +14,7 @@
   std::vector<Request> Requests;
   std::vector<std::uint64_t> Gone;
   std::vector<int> Rejected;
+  std::vector<Shed> Turned;
   std::string Received;
 
   explicit Fixture(ServerOptions options = {}) {
@@ -22,7 +23,8 @@
         *startServer(EventLoop, Timers, options,
                      {.OnRequest = [this](Request &&r) { Requests.push_back(std::move(r)); },
                       .OnGone = [this](std::uint64_t id) { Gone.push_back(id); },
-                      .OnRejected = [this](int status) { Rejected.push_back(status); }}));
+                      .OnRejected = [this](int status) { Rejected.push_back(status); },
+                      .OnShed = [this](const std::string &, Shed s) { Turned.push_back(s); }}));
   }
 
   bool receives(int fd, const std::string &text) {
@@ -163,4 +165,98 @@
   close(fresh);
 }
 
+// Guards against a body that is read although it cannot be held, and against a refusal without the
+// word that the request has not run.
+BOOST_AUTO_TEST_CASE(RequestsThatDoNotFitAreRefusedBeforeTheirBody) {
+  limits::MemoryBudget memory = limits::makeMemoryBudget(1'000'000);
+  ServerOptions options;
+  options.Memory = &memory;
+  Fixture f(options);
+  const int fd = connectPlain(port(*f.It));
+  sendText(fd, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n\r\n");
+  BOOST_TEST(f.receives(fd, "HTTP/1.1 503"));
+  BOOST_TEST(f.receives(fd, "Retry-After: 1"));
+  BOOST_TEST((f.Turned == std::vector{Shed::NoMemory}));
+  close(fd);
+  BOOST_TEST(f.runUntil([&] { return openConnections(*f.It) == 0; }));
+  BOOST_TEST(limits::heldBytes(memory) == 0U);
+}
+
+// Guards against a client that fills the memory with a body that it does not end, and against
+// ordinary requests that are refused for it.
+BOOST_AUTO_TEST_CASE(UnfinishedBodiesAreClosedForOthers) {
+  limits::MemoryBudget memory = limits::makeMemoryBudget(1'000'000);
+  ServerOptions options;
+  options.Memory = &memory;
+  Fixture f(options);
+  const int large = connectPlain(port(*f.It));
+  const int small = connectPlain(port(*f.It));
+  sendText(large, "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nf0000\r\n");
+  BOOST_TEST(f.runUntil([&] {
+    sendText(large, std::string(10'000, 'b'));
+    return !f.Turned.empty();
+  }));
+  BOOST_TEST(limits::excessBytes(memory) == 0U);
+  sendText(small, Get);
+  BOOST_TEST(f.runUntil([&] { return f.Requests.size() == 1; }));
+  close(large);
+  close(small);
+}
+
+// Guards against one client address that takes all connections.
+BOOST_AUTO_TEST_CASE(ConnectionsOfOneAddressAreBounded) {
+  ServerOptions options;
+  options.MaxConnectionsPerAddress = 2;
+  Fixture f(options);
+  std::vector<int> fds;
+  for (int i = 0; i < 3; ++i)
+    fds.push_back(connectPlain(port(*f.It)));
+  BOOST_TEST(f.runUntil([&] { return isClosed(fds[2]); }));
+  BOOST_TEST(openConnections(*f.It) == 2U);
+  BOOST_TEST((f.Turned == std::vector{Shed::TooManyConnections}));
+  close(fds[0]);
+  BOOST_TEST(f.runUntil([&] { return openConnections(*f.It) == 1; }));
+  fds.push_back(connectPlain(port(*f.It)));
+  BOOST_TEST(f.runUntil([&] { return openConnections(*f.It) == 2; }));
+  for (const int it : fds)
+    close(it);
+}
+
+// Guards against a loop that spins, or descriptors that run out, while no connection may be taken.
+BOOST_AUTO_TEST_CASE(AcceptingPausesAndGoesOn) {
+  bool mayAccept = false;
+  int asked = 0;
+  ServerOptions options;
+  options.MayAccept = [&] {
+    ++asked;
+    return mayAccept;
+  };
+  Fixture f(options);
+  const int fd = connectPlain(port(*f.It));
+  sendText(fd, Get);
+  f.runUntil([] { return false; }, 600ms);
+  BOOST_TEST(openConnections(*f.It) == 0U);
+  BOOST_TEST(asked <= 4);
+  mayAccept = true;
+  BOOST_TEST(f.runUntil([&] { return f.Requests.size() == 1; }));
+  close(fd);
+}
+
+// Guards against a body that trickles in to hold its connection.
+BOOST_AUTO_TEST_CASE(SlowBodiesAreEnded) {
+  ServerOptions options;
+  options.Limits.IdleTimeout = 200ms;
+  // Above what this client sends, which is one byte per turn of the loop.
+  options.Limits.MinBodyBytesPerSecond = 100'000'000;
+  Fixture f(options);
+  const int fd = connectPlain(port(*f.It));
+  sendText(fd, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n");
+  BOOST_TEST(f.runUntil([&] {
+    sendText(fd, "b");
+    return !f.Rejected.empty();
+  }));
+  BOOST_TEST((f.Rejected == std::vector{408}));
+  close(fd);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
