--- a/packages/http/Reader.cpp
+++ b/packages/http/Reader.cpp
@@ -21,10 +21,10 @@
 /// Appends part of a body of at most `length` bytes. std::string doubles its buffer, whose unused
 /// part would count as much as the body; this grows by a quarter.
 void append(std::string &to, BeastView bytes, std::uint64_t length) {
-  constexpr std::size_t MinGrowth = 1024;
+  constexpr std::size_t minGrowth = 1024;
   const std::size_t needed = to.size() + bytes.size();
   if (needed > to.capacity()) {
-    const std::size_t grown = to.size() + to.size() / 4 + MinGrowth;
+    const std::size_t grown = to.size() + to.size() / 4 + minGrowth;
     std::string larger;
     larger.reserve(std::max<std::size_t>(needed, std::min<std::uint64_t>(grown, length)));
     larger.append(to);
