relay, message: choose by expected time, with the speed of servers in the load reports

Chooses by packages/balance. A load report carries two more bytes per server: the sender's evidence of its speed. Reports that stop arriving expire also if no other report arrives.

relay_test (81 cases, unchanged) and wire_test pass.

--- a/packages/message/BackendLoads.h
+++ b/packages/message/BackendLoads.h
@@ -16,6 +16,9 @@
   std::uint32_t PendingTokens = 0;
   /// Requests for which part of the answer has arrived.
   std::uint32_t Running = 0;
+  /// The sender's evidence of the server's speed; see balance::EncodedSpeed.
+  std::uint8_t SpeedFactor = 0;
+  std::uint8_t SpeedWeight = 0;
 };
 
 /// Demand of the sender's callers for a service, in prompt tokens per second.
--- a/packages/relay/ActiveRequest.h
+++ b/packages/relay/ActiveRequest.h
@@ -4,6 +4,7 @@
 
 #include "base/ResultCode.h"
 #include "base/Time.h"
+#include "relay/Backends.h"
 #include "relay/Configuration.h"
 #include "relay/Effect.h"
 #include "relay/EventProgress.h"
@@ -63,6 +64,8 @@
   bool IsRetrying = false;
   /// Prompt tokens that the server of the current call was expected to read.
   double PendingTokens = 0;
+  /// The estimates that its server was chosen by.
+  ChoiceFigures Figures;
   /// When the current call was sent.
   TimePoint Sent{};
   /// When the first byte of any answer arrived; the epoch until then.
@@ -95,6 +98,9 @@
   /// How far the stream of the current call has come, and when it last made progress.
   EventProgress Progress;
   TimePoint LastProgress{};
+  /// Events since EventsSince, which is the epoch before the first one.
+  unsigned TimedEvents = 0;
+  TimePoint EventsSince{};
   /// While its server is silent: another one is not looked for before this time.
   TimePoint NextMove{};
   /// Id of the last event forwarded to the caller.
--- a/packages/relay/BackendEvents.cpp
+++ b/packages/relay/BackendEvents.cpp
@@ -22,6 +22,9 @@
 constexpr std::size_t MaxEventBytes = 256 * 1024;
 // Time between two attempts to find another server for a stream whose server is silent.
 constexpr Duration MovePeriod = 200ms;
+// Successive events whose time is one sample of a server's speed: enough to average over the steps
+// of an engine, and few enough for several samples a second.
+constexpr unsigned EventsPerSample = 16;
 // Answers up to this size are collected even if the bound of all answers is reached.
 constexpr std::size_t SmallAnswerBytes = 64 * 1024;
 
@@ -44,6 +47,9 @@
   if (!request.Info.Prompt.empty())
     onPrefillDone(ctx.S.PrefillDemands[request.Service], request.PendingTokens,
                   ctx.Time.Steady - request.Sent);
+  if (request.Status == 200)
+    onPromptRead(ctx.S.Servers, request.Backend, request.Figures, ctx.Time.Steady - request.Sent,
+                 ctx.Time);
   onFirstByte(ctx.S.Servers, request.Backend, request.PendingTokens, request.Info.Prompt);
   // A resumed stream counts as the same run for its workspace.
   if (!request.Workspace.empty() && request.LastEvent.empty())
@@ -124,11 +130,29 @@
          request.Status != 0 ? ResultCode::BackendBadAnswer : ResultCode::BackendDied);
 }
 
+/// Counts an event of a stream for the speed of its server.
+void timeEvent(Context &ctx, ActiveRequest &request) {
+  if (request.Info.Prompt.empty())
+    return;
+  if (request.EventsSince == TimePoint{}) {
+    request.EventsSince = ctx.Time.Steady;
+    return;
+  }
+  if (++request.TimedEvents < EventsPerSample)
+    return;
+  onEventsTimed(ctx.S.Servers, request.Backend, request.TimedEvents,
+                ctx.Time.Steady - request.EventsSince, ctx.Time);
+  request.TimedEvents = 0;
+  request.EventsSince = ctx.Time.Steady;
+}
+
 /// Forwards bytes of a stream. On resumable routes, only complete events that the caller does not
 /// have yet are forwarded.
 void streamEvents(Context &ctx, ActiveRequest &request, std::string_view bytes) {
-  if (advance(request.Progress, bytes))
+  if (advance(request.Progress, bytes)) {
     request.LastProgress = ctx.Time.Steady;
+    timeEvent(ctx, request);
+  }
   if (!request.Route->Resumable) {
     ctx.Out.push_back(StreamBytes{request.Id, std::string(bytes)});
     return;
--- a/packages/relay/Backends.cpp
+++ b/packages/relay/Backends.cpp
@@ -1,8 +1,10 @@
 #include "relay/Backends.h"
 
+#include "balance/Choose.h"
 #include "base/Hash.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace chervil::relay {
@@ -41,6 +43,15 @@
 // list.
 constexpr Duration LeavingReportLifetime = 30s;
 
+// Reports that stopped are taken to be lost for this time, and this node's own requests for a
+// sample of those of all nodes. Nodes without work stop to report too.
+constexpr Duration LostReportsTime = 10s;
+// Requests with fewer tokens before their first one are no samples of the speed: most of their time
+// is set-up.
+constexpr double MinSampleTokens = 200;
+
+using Homes = std::array<const Backend *, balance::HomesPerPrefix>;
+
 bool isExcluded(const SelectionCriteria &criteria, const std::string &id) {
   return std::ranges::find(criteria.Excluded, id) != criteria.Excluded.end();
 }
@@ -99,16 +110,18 @@
 }
 
 /// Rendezvous hashing: all nodes rank the servers for a prefix alike without communication, and few
-/// prefixes move when a server is added or removed.
-const Backend *highestRanked(const std::vector<const Backend *> &from, std::uint64_t prefix) {
-  const Backend *best = nullptr;
-  std::uint64_t bestRank = 0;
+/// prefixes move when a server is added or removed. Returns those with the highest ranks in order;
+/// null where there are fewer.
+Homes homesOf(const std::vector<const Backend *> &from, std::uint64_t prefix) {
+  Homes best{};
+  std::array<std::uint64_t, balance::HomesPerPrefix> ranks{};
   for (const Backend *it : from) {
-    const std::uint64_t rank = hashBytes(it->Entry.Id, prefix);
-    if (best == nullptr || rank > bestRank) {
-      best = it;
-      bestRank = rank;
-    }
+    std::uint64_t rank = hashBytes(it->Entry.Id, prefix);
+    for (std::size_t i = 0; i < best.size() && it != nullptr; ++i)
+      if (best[i] == nullptr || rank > ranks[i]) {
+        std::swap(best[i], it);
+        std::swap(ranks[i], rank);
+      }
   }
   return best;
 }
@@ -126,46 +139,102 @@
 
 /// Prompt tokens, or their equivalent in running requests, that delay the first token of a new
 /// request.
-double queuedTokens(const Backends &backends, const Backend &it) {
-  const PeerWork others = workOn(backends.Peers, it.Entry.Id);
-  return it.PendingTokens + backends.PeerScale * others.PendingTokens +
-         TokensPerRunningRequest * (it.Running + backends.PeerScale * others.Running) *
-             ReferenceSlots / std::max(1U, it.Entry.Slots);
+balance::ServerLoad loadFor(const Backends &backends, const Backend &it, const PeerWork &others,
+                            bool areReportsLost) {
+  const double perRunning = TokensPerRunningRequest * ReferenceSlots / std::max(1U, it.Entry.Slots);
+  balance::ServerLoad out;
+  out.OwnTokens = it.PendingTokens + perRunning * it.Running;
+  out.OtherTokens = areReportsLost
+                        ? balance::extrapolateOthers(out.OwnTokens, backends.OtherNodes)
+                        : backends.PeerScale * (others.PendingTokens + perRunning * others.Running);
+  return out;
+}
+
+balance::SpeedEstimate estimateOf(const Backend &it, const PeerWork &others, const Now &now) {
+  return balance::estimateSpeed(balance::withPeers(balance::decayed(it.Speed, now),
+                                                   others.SpeedFactors, others.SpeedWeights));
+}
+
+/// True if the other nodes reported not long ago and do no more.
+bool areReportsLost(const Backends &backends, const Now &now) {
+  return backends.Peers.Reports.empty() && backends.Peers.LastAt != TimePoint{} &&
+         now.Steady - backends.Peers.LastAt < LostReportsTime;
+}
+
+/// What the other nodes send to a service, in prompt tokens per second.
+double othersPerSecond(const Backends &backends, const SelectionCriteria &criteria,
+                       const Now &now) {
+  if (areReportsLost(backends, now))
+    return criteria.OwnTokensPerSecond * static_cast<double>(backends.OtherNodes);
+  const auto it = backends.Peers.Demands.find(criteria.Service);
+  return it == backends.Peers.Demands.end() ? 0 : backends.PeerScale * double(it->second);
+}
+
+balance::Outlook outlookOf(const Backends &backends, const SelectionCriteria &criteria,
+                           const Now &now) {
+  const auto times = backends.Times.find(criteria.Service);
+  return balance::makeOutlook(
+      reportAge(backends.Peers, now),
+      times == backends.Times.end() ? std::nullopt : balance::unitsPerMs(times->second.PerToken),
+      othersPerSecond(backends, criteria, now));
 }
 
 double limitPenalty(const Backend &it, double ownTokens) {
   return isLimited(it) ? std::max(0.0, LimitedServerTokens - ownTokens) : 0;
 }
 
-/// Chooses the server with the lowest cost: its queued tokens plus, if it does not cache the
-/// prefix, the tokens of the prefix up to HolderPreferenceTokens, or half of that for the highest
-/// ranked server. A server without the prefix fetches it from a holder. If no holder is known, the
-/// highest ranked server, which is the same on all nodes, is treated as one and reads the prefix.
-Choice chooseByPrefix(const Backends &backends, const std::vector<const Backend *> &candidates,
-                      const SelectionCriteria &criteria, std::uint64_t prefix) {
+/// Chooses by the expected wait, the time to read the prompt and, if the server does not cache the
+/// prefix, the tokens of the prefix up to HolderPreferenceTokens, less the discount of its homes. A
+/// server without the prefix fetches it from a holder. If no holder is known, the first home, which
+/// is the same on all nodes, is treated as one and reads the prefix.
+Choice chooseByPrefix(const Backends &backends, const std::vector<const Backend *> &from,
+                      const SelectionCriteria &criteria, std::uint64_t prefix, const Now &now,
+                      Random &rng) {
   // The most recent reader comes first.
   const std::span<const std::string> holders = holdersOf(backends.PrefixCache, prefix);
   const Backend *holder = firstReachable(backends, holders);
-  const Backend *first = highestRanked(candidates, prefix);
+  const Homes homes = homesOf(from, prefix);
+  const auto hasPrefix = [&](const Backend *it) {
+    return holder == nullptr ? it == homes[0]
+                             : std::ranges::find(holders, it->Entry.Id) != holders.end();
+  };
   const double own = criteria.Prompt.back().Tokens;
   const auto shared = static_cast<double>(sharedPrefixTokens(criteria.Prompt));
   const double preference = std::min(HolderPreferenceTokens, shared);
-  Choice best;
-  double bestCost = 0;
-  for (const Backend *it : candidates) {
-    const bool hasPrefix =
-        holder == nullptr ? it == first : std::ranges::find(holders, it->Entry.Id) != holders.end();
-    const double missing = hasPrefix ? 0 : it == first ? preference / 2 : preference;
-    const double cost = queuedTokens(backends, *it) + missing + limitPenalty(*it, own);
-    if (best.Server != nullptr && cost >= bestCost)
-      continue;
-    const double toRead = holder == nullptr ? shared
-                          : hasPrefix       ? 0
-                                            : std::min(PrefixFetchTokens, shared);
-    best = {it, own + toRead, hasPrefix ? nullptr : holder};
-    bestCost = cost;
+  const balance::Outlook outlook = outlookOf(backends, criteria, now);
+  const bool isLost = areReportsLost(backends, now);
+  std::vector<balance::Candidate> candidates;
+  std::vector<balance::ServerLoad> loads;
+  candidates.reserve(from.size());
+  loads.reserve(from.size());
+  for (const Backend *it : from) {
+    const PeerWork others = workOn(backends.Peers, it->Entry.Id);
+    balance::ServerLoad &load = loads.emplace_back(loadFor(backends, *it, others, isLost));
+    load.Speed = estimateOf(*it, others, now);
+    const std::size_t rank = static_cast<std::size_t>(std::ranges::find(homes, it) - homes.begin());
+    const double discount = balance::homeDiscount(rank, outlook);
+    const bool isHolder = hasPrefix(it);
+    const double missing = isHolder ? 0 : preference * (1 - discount);
+    candidates.push_back({balance::expectedWait(load),
+                          load.Speed.Factor * (own + missing) + limitPenalty(*it, own),
+                          load.Speed.Factor, isHolder || discount > 0});
   }
-  return best;
+  const std::size_t best = balance::chooseCandidate(candidates, outlook, rng);
+  const balance::ServerLoad &load = loads[best];
+  const bool isHolder = hasPrefix(from[best]);
+  const double toRead = own + (holder == nullptr ? shared
+                               : isHolder        ? 0
+                                                 : std::min(PrefixFetchTokens, shared));
+  return {from[best],
+          toRead,
+          isHolder ? nullptr : holder,
+          {.Wait = candidates[best].Wait,
+           .Speed = load.Speed,
+           .ReportAge = reportAge(backends.Peers, now),
+           .SentSinceReports = outlook.SentSinceReports,
+           .TokensBefore = load.OwnTokens + load.OtherTokens + toRead,
+           .CertainPart = balance::certainPart(load, toRead),
+           .Candidates = from.size()}};
 }
 
 } // namespace
@@ -271,16 +340,19 @@
   if (candidates.empty())
     return {};
   if (const auto prefix = sharedPrefixHash(criteria.Prompt))
-    return chooseByPrefix(backends, candidates, criteria, *prefix);
-  return {leastLoaded(backends, candidates, rng), 0, nullptr};
+    return chooseByPrefix(backends, candidates, criteria, *prefix, now, rng);
+  return {leastLoaded(backends, candidates, rng), 0, nullptr, {}};
 }
 
-message::BackendLoads localLoads(const Backends &backends) {
+message::BackendLoads localLoads(const Backends &backends, const Now &now) {
   message::BackendLoads out;
-  for (const auto &[id, it] : backends.Servers)
-    if (it.Inflight > 0)
-      out.Loads.push_back({id, static_cast<std::uint32_t>(std::max(0.0, it.PendingTokens)),
-                           static_cast<std::uint32_t>(it.Running)});
+  for (const auto &[id, it] : backends.Servers) {
+    if (it.Inflight == 0)
+      continue;
+    const balance::EncodedSpeed speed = balance::encodeSpeed(balance::decayed(it.Speed, now));
+    out.Loads.push_back({id, static_cast<std::uint32_t>(std::max(0.0, it.PendingTokens)),
+                         static_cast<std::uint32_t>(it.Running), speed.Factor, speed.Weight});
+  }
   return out;
 }
 
@@ -341,6 +413,37 @@
     recordHolder(backends.PrefixCache, *prefix, id);
 }
 
+void onPromptRead(Backends &backends, const std::string &id, const ChoiceFigures &figures,
+                  Duration time, const Now &now) {
+  Backend *it = find(backends, id);
+  if (it == nullptr || figures.TokensBefore < MinSampleTokens)
+    return;
+  ServiceTimes &times = backends.Times[it->Entry.Service];
+  if (const auto factor = balance::addTimedWork(times.PerToken, figures.TokensBefore, time))
+    balance::addSample(it->Speed, *factor, figures.CertainPart, now);
+}
+
+void onEventsTimed(Backends &backends, const std::string &id, unsigned events, Duration time,
+                   const Now &now) {
+  Backend *it = find(backends, id);
+  if (it == nullptr)
+    return;
+  ServiceTimes &times = backends.Times[it->Entry.Service];
+  if (const auto factor = balance::addTimedWork(times.PerEvent, events, time))
+    balance::addSample(it->Speed, *factor, 1, now);
+}
+
+balance::SpeedEstimate speedOf(const Backends &backends, const Backend &server, const Now &now) {
+  return estimateOf(server, workOn(backends.Peers, server.Entry.Id), now);
+}
+
+double expectedWaitAt(const Backends &backends, const Backend &server, const Now &now) {
+  const PeerWork others = workOn(backends.Peers, server.Entry.Id);
+  balance::ServerLoad load = loadFor(backends, server, others, areReportsLost(backends, now));
+  load.Speed = estimateOf(server, others, now);
+  return balance::expectedWait(load);
+}
+
 void onRequestEnded(Backends &backends, const std::string &id, double pendingTokens,
                     bool gotFirstByte) {
   Backend *it = find(backends, id);
--- a/packages/relay/Backends.h
+++ b/packages/relay/Backends.h
@@ -6,6 +6,8 @@
 #ifndef CHERVIL_RELAY_BACKENDS_H
 #define CHERVIL_RELAY_BACKENDS_H
 
+#include "balance/Forecast.h"
+#include "balance/Speed.h"
 #include "base/Random.h"
 #include "base/Time.h"
 #include "message/BackendLoads.h"
@@ -51,6 +53,16 @@
   bool ClaimPending = false;
   /// No claim is sent before this time, because the last one was denied.
   TimePoint ClaimDeniedUntil{};
+  /// What the answers that passed through this node say about its speed since its start.
+  balance::SpeedEvidence Speed;
+};
+
+/// Usual times of the backend servers of a service.
+struct ServiceTimes {
+  /// Per prompt token, queued ones included.
+  balance::ServicePrior PerToken;
+  /// Per event of a stream.
+  balance::ServicePrior PerEvent;
 };
 
 /// A server that is leaving, identified by its id and its start.
@@ -78,9 +90,29 @@
   relay::PeerLoads Peers;
   /// Extrapolates the work of the nodes that reported to all other nodes; 1 if all report.
   double PeerScale = 1;
+  /// Nodes other than this one.
+  std::size_t OtherNodes = 0;
+  /// By service.
+  std::map<std::string, ServiceTimes> Times;
   PrefixCacheIndex PrefixCache;
 };
 
+/// The estimates that a choice is based on, in prompt tokens of an average server unless said.
+struct ChoiceFigures {
+  /// Expected wait before the server begins with the request.
+  double Wait = 0;
+  /// See balance::SpeedEstimate.
+  balance::SpeedEstimate Speed;
+  /// Mean age of the reports of the other nodes, and what they sent to the service since.
+  Duration ReportAge{};
+  double SentSinceReports = 0;
+  /// Tokens at the server of which the time to the first byte depends, those of the request
+  /// included, and the part of them that was known exactly.
+  double TokensBefore = 0;
+  double CertainPart = 0;
+  std::size_t Candidates = 0;
+};
+
 /// The server chosen for a request.
 struct Choice {
   const Backend *Server = nullptr;
@@ -89,6 +121,8 @@
   /// Server that probably caches the shared prefix that the chosen server lacks, and from which it
   /// can fetch it; null if there is none.
   const Backend *PrefixSource = nullptr;
+  /// Only for requests with a shared prefix.
+  ChoiceFigures Figures;
 };
 
 /// Properties of a request that determine the choice of a server.
@@ -110,6 +144,8 @@
   LimitedServers Limited = LimitedServers::Claimable;
   /// Id of the only server that may be chosen; empty for all.
   std::string_view Only;
+  /// What this node sends to the service.
+  double OwnTokensPerSecond = 0;
 };
 
 /// Replaces the list of servers. A server that is missing from it starts to leave and is removed
@@ -127,7 +163,7 @@
 Choice chooseServer(const Backends &backends, const SelectionCriteria &criteria, const Now &now,
                     Random &rng);
 /// Returns the load that this node puts on each server, for the other nodes.
-message::BackendLoads localLoads(const Backends &backends);
+message::BackendLoads localLoads(const Backends &backends, const Now &now = {});
 
 /// True if the server limits the requests of all nodes together, so that each needs a claim.
 inline bool isLimited(const Backend &server) {
@@ -158,6 +194,18 @@
 /// its shared prefix.
 void onFirstByte(Backends &backends, const std::string &id, double pendingTokens,
                  std::span<const PromptPart> prompt);
+/// Learns the speed of a server from the time to the first byte of a request that was chosen with
+/// these figures.
+void onPromptRead(Backends &backends, const std::string &id, const ChoiceFigures &figures,
+                  Duration time, const Now &now);
+/// Learns the speed of a server from a number of successive events of a stream.
+void onEventsTimed(Backends &backends, const std::string &id, unsigned events, Duration time,
+                   const Now &now);
+/// Returns the estimate of the speed of a server by this node and its peers.
+balance::SpeedEstimate speedOf(const Backends &backends, const Backend &server, const Now &now);
+/// Returns the expected wait at a server in prompt tokens of an average one.
+double expectedWaitAt(const Backends &backends, const Backend &server, const Now &now);
+
 /// Removes a request that ended; `gotFirstByte` tells whether its first byte had arrived.
 void onRequestEnded(Backends &backends, const std::string &id, double pendingTokens,
                     bool gotFirstByte);
--- a/packages/relay/PeerLoads.h
+++ b/packages/relay/PeerLoads.h
@@ -9,6 +9,7 @@
 #include "base/Time.h"
 #include "message/BackendLoads.h"
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -19,6 +20,9 @@
 struct PeerWork {
   double Running = 0;
   double PendingTokens = 0;
+  /// Evidence of its speed; see balance::EncodedSpeed. The sum of the factors is weighted.
+  std::int64_t SpeedFactors = 0;
+  std::int64_t SpeedWeights = 0;
 };
 
 /// The latest report of a node and when it arrived.
@@ -32,6 +36,13 @@
   std::map<std::string, PeerReport> Reports;
   /// Sums of all reports by server; no entry for a server without work.
   std::unordered_map<std::string, PeerWork> Totals;
+  /// Sums of all reports by service, in prompt tokens per second.
+  std::map<std::string, std::int64_t> Demands;
+  /// Sum of the times at which the reports arrived, relative to FirstAt.
+  Duration ArrivalSum{};
+  /// When the first and the last report arrived.
+  TimePoint FirstAt{};
+  TimePoint LastAt{};
   TimePoint ExpiredAt{};
 };
 
@@ -44,6 +55,12 @@
 void applyReport(PeerLoads &loads, const std::string &node, const message::BackendLoads &report,
                  const Now &now);
 
+/// Removes expired reports; call it regularly, because it may be that no more reports arrive.
+void removeExpired(PeerLoads &loads, const Now &now);
+
+/// Returns the mean age of the reports, or the time since the last one if none is left.
+Duration reportAge(const PeerLoads &loads, const Now &now);
+
 /// Returns the work of all nodes with a report on a server.
 PeerWork workOn(const PeerLoads &loads, const std::string &server);
 
--- a/packages/relay/Relay.cpp
+++ b/packages/relay/Relay.cpp
@@ -132,7 +132,7 @@
 }
 
 message::BackendLoads buildLoadReport(const State &state, const Now &now) {
-  message::BackendLoads out = localLoads(state.Servers);
+  message::BackendLoads out = localLoads(state.Servers, now);
   for (const auto &[service, it] : state.PrefillDemands)
     out.Demands.push_back({service, static_cast<std::uint32_t>(prefillTokensPerSecond(it, now))});
   return out;
@@ -308,6 +308,8 @@
     if (!retry::isEmpty(evidence))
       out.push_back(Gossip{std::move(evidence)});
   }
+  state.Servers.OtherNodes = state.LiveNodes - std::min<std::size_t>(1, state.LiveNodes);
+  removeExpired(state.Servers.Peers, now);
   detail::refuseQuarantined(ctx);
   std::vector<RequestId> timedOut;
   std::vector<RequestId> stalled;
--- a/packages/relay/detail/Dispatch.cpp
+++ b/packages/relay/detail/Dispatch.cpp
@@ -75,6 +75,9 @@
     request.Stage = Stage::Running;
   state.Calls.emplace(request.Call, request.Id);
   request.PendingTokens = choice.PendingTokens;
+  request.Figures = choice.Figures;
+  request.TimedEvents = 0;
+  request.EventsSince = {};
   onRequestSent(state.Servers, request.Backend, request.PendingTokens);
   if (!request.Info.Prompt.empty())
     onPromptSent(state.PrefillDemands[request.Service], request.PendingTokens, ctx.Time);
@@ -96,13 +99,15 @@
   ctx.Out.push_back(std::move(call));
 }
 
-SelectionCriteria criteriaOf(const State &state, const ActiveRequest &request) {
+SelectionCriteria criteriaOf(const State &state, const ActiveRequest &request, const Now &now) {
   SelectionCriteria criteria;
   criteria.Service = request.Service;
   criteria.Prompt = request.Info.Prompt;
   criteria.Excluded = request.TriedServers;
   if (const Service *service = findService(request))
     criteria.MaxInflight = maxInflight(state, *service);
+  if (const auto it = state.PrefillDemands.find(request.Service); it != state.PrefillDemands.end())
+    criteria.OwnTokensPerSecond = prefillTokensPerSecond(it->second, now);
   if (request.DeniedClaims >= MaxDeniedClaims)
     criteria.Limited = SelectionCriteria::LimitedServers::None;
   return criteria;
@@ -143,7 +148,7 @@
 /// Refuses a request that waited too long for a server.
 void refuseWaiting(Context &ctx, ActiveRequest &request) {
   std::chrono::milliseconds retryAfter = NoServerRetryAfter;
-  if (hasServerBehindLimit(ctx.S.Servers, criteriaOf(ctx.S, request), ctx.Time)) {
+  if (hasServerBehindLimit(ctx.S.Servers, criteriaOf(ctx.S, request, ctx.Time), ctx.Time)) {
     retryAfter += returnSpread(ctx);
     ctx.Out.push_back(IncrementCounter{"refused_behind", "server_limit"});
     logRequest(ctx, request, "waited_for_server_limit", {});
@@ -153,7 +158,8 @@
 
 /// Continues a stream on another server, or ends it if none can be found in time.
 void resumeStream(Context &ctx, ActiveRequest &request) {
-  const Choice choice = chooseServer(ctx.S.Servers, criteriaOf(ctx.S, request), ctx.Time, ctx.Rng);
+  const Choice choice =
+      chooseServer(ctx.S.Servers, criteriaOf(ctx.S, request, ctx.Time), ctx.Time, ctx.Rng);
   if (choice.Server != nullptr)
     place(ctx, request, choice);
   else if (ctx.Time.Steady - request.LastProgress > stallTimeout(*request.Route))
@@ -176,7 +182,8 @@
   }
   if (request.SendClaim != 0)
     return;
-  const Choice choice = chooseServer(state.Servers, criteriaOf(state, request), ctx.Time, ctx.Rng);
+  const Choice choice =
+      chooseServer(state.Servers, criteriaOf(state, request, ctx.Time), ctx.Time, ctx.Rng);
   if (choice.Server != nullptr) {
     place(ctx, request, choice);
     return;
@@ -206,7 +213,7 @@
 }
 
 void sendClaimed(Context &ctx, ActiveRequest &request, const std::string &server) {
-  SelectionCriteria criteria = criteriaOf(ctx.S, request);
+  SelectionCriteria criteria = criteriaOf(ctx.S, request, ctx.Time);
   criteria.Limited = SelectionCriteria::LimitedServers::All;
   criteria.Only = server;
   const Choice choice = chooseServer(ctx.S.Servers, criteria, ctx.Time, ctx.Rng);
@@ -227,7 +234,7 @@
   if (request.PossibleRuns >= request.Route->MaxAttempts || request.TriedServers.size() >= bound ||
       ctx.Time.Steady + MinTimeLeftToSend > request.GiveUp)
     return false;
-  const SelectionCriteria criteria = criteriaOf(state, request);
+  const SelectionCriteria criteria = criteriaOf(state, request, ctx.Time);
   const Choice choice = chooseServer(state.Servers, criteria, ctx.Time, ctx.Rng);
   if (choice.Server == nullptr && !hasServerBehindLimit(state.Servers, criteria, ctx.Time))
     return false;
--- a/packages/wire/detail/Fields.h
+++ b/packages/wire/detail/Fields.h
@@ -150,7 +150,7 @@
   return std::tie(m.Revision, m.Backends, m.Era);
 }
 template <MaybeConst<message::BackendLoad> M> auto fields(M &m) {
-  return std::tie(m.Backend, m.PendingTokens, m.Running);
+  return std::tie(m.Backend, m.PendingTokens, m.Running, m.SpeedFactor, m.SpeedWeight);
 }
 template <MaybeConst<message::ServiceDemand> M> auto fields(M &m) {
   return std::tie(m.Service, m.TokensPerSecond);
