relay, daemon, store: departures of servers as facts with a source and an end

Cause: a lapsed entry, a draining entry and a server's own announcement were all kept as LeavingReports for 30 s, cleared only by a later `born`. A server that was cut off from the store and listed again with the same start got no requests for 30 s. A restart with a lower `born` counted as an earlier start. After a plain start, entries that were removed were kept for 2.5 s, because the first answer of the store counted as its return.

Ruled out: a shorter expiry (too short for an announcement), and an end sent by the source (does not reach nodes that are cut off).

Change: relay/Departures keeps one fact for each start of a server, with kind, source, age and position of the store. A lapse ends with a later reading that lists the start; the others end with another start, in either direction of `born`. Reports from before the list in use are ignored by position. Lists carry the known facts, mark the entries that their sender only keeps, and tell how long it keeps them; a node that has just started asks for them. Entries are kept after an outage or a return of the store only, and a failed call while other nodes could read is no outage. `backend_leaving` names kind and origin, and is counted by kind.

The tests of the earlier markLeaving() use applyDeparture() with positions, which tell the earlier start instead of the lower `born`.

--- a/packages/daemon/edge/Edge.h
+++ b/packages/daemon/edge/Edge.h
@@ -103,6 +103,11 @@
   /// That list as other nodes compare it, and its digest.
   relay::BackendListSnapshot List;
   std::uint64_t ListDigest = 0;
+  /// Remaining requests for the list of a peer after the start of this node, which lacks the
+  /// departures that the peers know of. 0 once a list has arrived.
+  unsigned FirstListRequests = 10;
+  /// A peer keeps entries that its reading lacks until this time; see BackendListCopy::KeepMissing.
+  TimePoint KeepMissingUntil{};
   /// Names of the nodes that watch the store and read the list for all, as of the last tick.
   std::set<std::string> Watchers;
   /// News of shared prompt parts from other groups of nodes, to be forwarded to the own group.
--- a/packages/daemon/edge/EdgeDetail.h
+++ b/packages/daemon/edge/EdgeDetail.h
@@ -96,6 +96,8 @@
 void tickStore(Edge &edge);
 /// Reads all items of the store again, which has come back from an older copy.
 void onStoreRestored(Edge &edge);
+/// Remaining time in which an entry may be missing because the store was away; 0 if none.
+Duration returnTimeLeft(const Edge &edge, const Now &now);
 /// True if this node is one of those that watch the store and read the list for all.
 bool isWatcher(const Edge &edge);
 const store::Item *holderItem(const Edge &edge);
@@ -106,7 +108,7 @@
 void onListDelta(Edge &edge, const std::string &from, const message::BackendListDelta &delta);
 void onListRequest(Edge &edge, const std::string &from, const message::BackendListRequest &request);
 void onListCopy(Edge &edge, const message::BackendListCopy &copy);
-/// A node that knows of no reading for a while asks peers for their list.
+/// A node that knows of no reading for a while, or has just started, asks peers for their list.
 void askForList(Edge &edge);
 
 // EdgeDuty.cpp
--- a/packages/daemon/edge/EdgeList.cpp
+++ b/packages/daemon/edge/EdgeList.cpp
@@ -10,9 +10,18 @@
 namespace chervil::daemon::detail {
 namespace {
 
-void useEntries(Edge &edge, std::vector<relay::BackendEntry> list, bool keepMissing) {
-  handle(edge, [&edge, list = std::move(list), keepMissing](relay::Effects &out, const Now &now) {
-    relay::onBackendList(edge.Relay, list, keepMissing, out, now);
+void useEntries(Edge &edge, std::vector<relay::BackendEntry> list, bool keepMissing,
+                const store::Position &position) {
+  handle(edge, [&edge, list = std::move(list), keepMissing, position](relay::Effects &out,
+                                                                      const Now &now) {
+    relay::onBackendList(edge.Relay, list, keepMissing, out, now, position);
+  });
+}
+
+void useDepartures(Edge &edge, const std::vector<message::BackendDeparture> &departures) {
+  handle(edge, [&edge, departures](relay::Effects &out, const Now &now) {
+    for (const message::BackendDeparture &it : departures)
+      relay::onBackendDeparture(edge.Relay, it, out, now);
   });
 }
 
@@ -21,17 +30,14 @@
   edge.ListDigest = relay::listDigest(edge.List);
 }
 
-/// Takes another node's list into use, and what that node was told about departures.
+/// Takes another node's list into use, and the departures that the node knows of.
 void useShared(Edge &edge, const relay::BackendListSnapshot &list,
+               const std::vector<message::BackendDeparture> &departures,
                const store::Position &position) {
   edge.ListPosition = position;
-  useEntries(edge, relay::toEntries(list), false);
-  handle(edge, [&edge, list](relay::Effects &out, const Now &now) {
-    for (const message::BackendCopy &it : list)
-      if (it.Leaving && !it.Draining)
-        relay::onBackendStatus(edge.Relay, {it.Id, 0, 1, true, it.Born}, out, now);
-    rememberList(edge);
-  });
+  useEntries(edge, relay::toEntries(list), false, position);
+  useDepartures(edge, departures);
+  handle(edge, [&edge](relay::Effects &, const Now &) { rememberList(edge); });
 }
 
 /// Asks for a later list than the one in use.
@@ -70,14 +76,15 @@
              {"known_era", std::to_string(edge.ListPosition.Era)}});
     return;
   }
-  useEntries(edge, std::move(list), keepMissing);
+  useEntries(edge, std::move(list), keepMissing, position);
   // After the news of departures, which are effects of the list.
-  handle(edge, [&edge](relay::Effects &, const Now &) {
+  handle(edge, [&edge](relay::Effects &, const Now &now) {
     const relay::BackendListSnapshot before = std::move(edge.List);
     rememberList(edge);
     message::BackendListDelta delta =
         relay::diffLists(before, edge.List, edge.ListPosition.Revision);
     delta.Era = edge.ListPosition.Era;
+    delta.Departures = relay::departuresOf(edge.Relay.Servers, delta.Changed, now);
     for (const NodeId &it : otherMembers(edge))
       sendTo(edge, it, delta);
   });
@@ -90,8 +97,11 @@
     return;
   if (delta.After == edge.ListDigest) {
     edge.ListPosition = position;
+    handle(edge, [&edge, position](relay::Effects &, const Now &) {
+      relay::confirmList(edge.Relay.Servers, position);
+    });
   } else if (const auto list = relay::applyListDiff(edge.List, delta)) {
-    useShared(edge, *list, position);
+    useShared(edge, *list, delta.Departures, position);
   } else {
     count(edge.Counters, "retry", "list_differs");
     net::send(*edge.Peers, from, requestOfNewer(edge));
@@ -102,31 +112,47 @@
 
 void onListRequest(Edge &edge, const std::string &from,
                    const message::BackendListRequest &request) {
-  if (edge.ListPosition > store::Position{request.Era, request.Revision})
-    net::send(*edge.Peers, from,
-              message::BackendListCopy{edge.ListPosition.Revision,
-                                       relay::takeListSnapshot(edge.Relay.Servers),
-                                       edge.ListPosition.Era});
+  if (edge.ListPosition <= store::Position{request.Era, request.Revision})
+    return;
+  const Now now = net::readNow();
+  relay::BackendListSnapshot list = relay::takeListSnapshot(edge.Relay.Servers);
+  std::vector<message::BackendDeparture> departures =
+      relay::departuresOf(edge.Relay.Servers, list, now);
+  net::send(*edge.Peers, from,
+            message::BackendListCopy{
+                edge.ListPosition.Revision, std::move(list), edge.ListPosition.Era,
+                std::move(departures),
+                std::chrono::ceil<std::chrono::milliseconds>(returnTimeLeft(edge, now))});
 }
 
 void onListCopy(Edge &edge, const message::BackendListCopy &copy) {
   noteEra(edge, copy.Era, "peer");
   const store::Position position{copy.Era, copy.Revision};
-  if (position <= edge.ListPosition)
+  edge.FirstListRequests = 0;
+  edge.KeepMissingUntil =
+      std::max(edge.KeepMissingUntil, net::readNow().Steady + Duration(copy.KeepMissing));
+  if (position <= edge.ListPosition) {
+    useDepartures(edge, copy.Departures);
     return;
+  }
   logLine(edge, "backends", "list_from_peer",
           {{"revision", std::to_string(copy.Revision)},
            {"servers", std::to_string(copy.Backends.size())}});
-  useShared(edge, copy.Backends, position);
+  useShared(edge, copy.Backends, copy.Departures, position);
 }
 
 void askForList(Edge &edge) {
   const std::vector<NodeId> others = otherMembers(edge);
-  if (isConnected(edge.ServerItems, net::readNow()) || others.empty())
+  const bool isFirst = edge.FirstListRequests > 0;
+  if (others.empty() || (!isFirst && isConnected(edge.ServerItems, net::readNow())))
     return;
+  if (isFirst)
+    --edge.FirstListRequests;
   std::uniform_int_distribution<std::size_t> pick(0, others.size() - 1);
   for (int i = 0; i < 2; ++i)
-    sendTo(edge, others[pick(edge.Rng)], requestOfNewer(edge));
+    // A list that is not newer is of use too: its departures are.
+    sendTo(edge, others[pick(edge.Rng)],
+           isFirst ? message::BackendListRequest{} : requestOfNewer(edge));
 }
 
 } // namespace chervil::daemon::detail
--- a/packages/daemon/edge/EdgePeers.cpp
+++ b/packages/daemon/edge/EdgePeers.cpp
@@ -89,10 +89,10 @@
     duty::mergeReport(E.Usage, m);
   }
   void operator()(const message::DutyHolderAnnouncement &m) const { setHolderIfNewer(E, m); }
-  void operator()(const message::BackendStatus &m) const {
+  void operator()(const message::BackendDeparture &m) const {
     Edge &edge = E;
     handle(E, [&edge, m](relay::Effects &out, const Now &now) {
-      relay::onBackendStatus(edge.Relay, m, out, now);
+      relay::onBackendDeparture(edge.Relay, m, out, now);
     });
   }
   void operator()(const message::CrashReport &m) const {
--- a/packages/daemon/edge/EdgeStore.cpp
+++ b/packages/daemon/edge/EdgeStore.cpp
@@ -5,6 +5,8 @@
 #include "platform/ConfigurationDocument.h"
 #include "platform/StoreCalls.h"
 
+#include <algorithm>
+
 namespace chervil::daemon::detail {
 namespace {
 
@@ -55,7 +57,8 @@
     else
       noteBadEntry(edge, key, entry.error().Message);
   }
-  onListRead(edge, std::move(list), now.Steady - edge.ServerItems.ConnectedSince < ReturnTime);
+  onListRead(edge, std::move(list),
+             returnTimeLeft(edge, now) > Duration{0} || now.Steady < edge.KeepMissingUntil);
   checkConfiguration(edge);
 }
 
@@ -211,6 +214,11 @@
   duty::onStoreRestored(edge.Posting, edge.StoreEra, duty::filteredTime(edge.Clock, now));
 }
 
+Duration returnTimeLeft(const Edge &edge, const Now &now) {
+  const std::optional<TimePoint> &returned = edge.ServerItems.ReturnedAt;
+  return returned ? std::max(Duration{0}, *returned + ReturnTime - now.Steady) : Duration{0};
+}
+
 bool isWatcher(const Edge &edge) { return edge.Watchers.contains(edge.Settings.Node.Name); }
 
 void tickStore(Edge &edge) {
--- a/packages/daemon/edge/EdgeStoreTest.cpp
+++ b/packages/daemon/edge/EdgeStoreTest.cpp
@@ -62,6 +62,41 @@
   BOOST_TEST(!f.Node->Relay.Servers.Servers.at("a").Leaving);
 }
 
+// Guards against a removal that is not seen for a while because the node has just started: an entry
+// is kept only after an outage of the store.
+BOOST_AUTO_TEST_CASE(RemovalSoonAfterAStartIsSeenAtOnce) {
+  Fixture f;
+  const TimePoint started = net::readNow().Steady;
+  f.Store.remove("servers/a");
+  BOOST_TEST(f.runUntil([&] { return !f.Node->Relay.Servers.Servers.contains("a"); }, 2000ms));
+  BOOST_TEST(!f.Node->ServerItems.ReturnedAt.has_value());
+  // An entry that was kept for the time of return would go at the end of it.
+  BOOST_TEST((net::readNow().Steady - started < 2000ms));
+}
+
+// Guards against a removal that is concluded while entries may be missing because the store was
+// away, and against one that is not seen afterwards.
+BOOST_AUTO_TEST_CASE(MissingEntriesAreKeptAfterAnOutageOnly) {
+  Fixture f;
+  f.Store.LostPrefix = "servers/";
+  f.Store.LostReads = 1;
+  BOOST_TEST(f.runUntil([&] { return f.Node->ServerItems.ReturnedAt.has_value(); }, 5000ms));
+  f.Store.remove("servers/a");
+  f.runUntil([] { return false; }, 1000ms);
+  BOOST_TEST(!f.Node->Relay.Servers.Servers.at("a").Leaving);
+  BOOST_TEST(f.runUntil([&] { return !f.Node->Relay.Servers.Servers.contains("a"); }, 4000ms));
+}
+
+// Guards against a server that gets no requests after its entry lapsed and is back.
+BOOST_AUTO_TEST_CASE(ServerThatIsListedAgainGetsRequests) {
+  Fixture f;
+  f.Store.remove("servers/a");
+  BOOST_TEST(f.runUntil([&] { return !f.Node->Relay.Servers.Servers.contains("a"); }));
+  f.announce(f.A, "ready");
+  BOOST_TEST(f.runUntil([&] { return f.Node->Relay.Servers.Servers.contains("a"); }));
+  BOOST_TEST(!f.Node->Relay.Servers.Servers.at("a").Leaving);
+}
+
 // Guards against a changed configuration that does not come into force.
 BOOST_AUTO_TEST_CASE(NewConfigurationComesIntoForce) {
   Fixture f;
--- a/packages/message/BackendListCopy.h
+++ b/packages/message/BackendListCopy.h
@@ -3,6 +3,8 @@
 #ifndef CHERVIL_MESSAGE_BACKENDLISTCOPY_H
 #define CHERVIL_MESSAGE_BACKENDLISTCOPY_H
 
+#include "message/BackendDeparture.h"
+
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -28,8 +30,9 @@
   /// Unix time of the server's start in ms; 0 if unknown. Tells a restarted server from the earlier
   /// one with the same identifier.
   std::uint64_t Born = 0;
-  /// True if the sender was notified that the server is leaving before the list showed it.
-  bool Leaving = false;
+  /// True if the sender's reading lacks the entry, which may return: the store is back after an
+  /// outage.
+  bool Missing = false;
 };
 
 struct BackendListCopy {
@@ -38,6 +41,11 @@
   std::vector<BackendCopy> Backends;
   /// Era of the store when the list was read; see store::Position.
   std::uint64_t Era = 0;
+  /// Departures of the listed servers that the sender knows of.
+  std::vector<BackendDeparture> Departures;
+  /// Remaining time in which the sender takes no server for gone because its entry is missing: the
+  /// store is back after an outage. 0 if it does.
+  std::chrono::milliseconds KeepMissing{0};
 };
 
 } // namespace chervil::message
--- a/packages/message/BackendListDelta.h
+++ b/packages/message/BackendListDelta.h
@@ -23,6 +23,8 @@
   std::vector<std::string> Removed;
   /// Era of the store when the list was read; see store::Position.
   std::uint64_t Era = 0;
+  /// Departures of the changed servers that the sender knows of.
+  std::vector<BackendDeparture> Departures;
 };
 
 } // namespace chervil::message
--- a/packages/message/Message.h
+++ b/packages/message/Message.h
@@ -3,6 +3,7 @@
 #define CHERVIL_MESSAGE_MESSAGE_H
 
 #include "message/Ack.h"
+#include "message/BackendDeparture.h"
 #include "message/BackendLimits.h"
 #include "message/BackendListCopy.h"
 #include "message/BackendListDelta.h"
@@ -60,7 +61,7 @@
                  EpochConfirm, MemberExchange, TokenClaim, TokenGrant, UsageReport,
                  BackendListRequest, BackendListCopy, BackendLoads, CachedPromptParts,
                  BackendListDelta, DutyHolderAnnouncement, ConfigurationStatus, PartEvidence,
-                 BackendLimits, SendClaim, SendGrant>;
+                 BackendLimits, SendClaim, SendGrant, BackendDeparture>;
 
 } // namespace chervil::message
 
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -111,6 +111,7 @@
   void operator()(const message::BackendListDelta &) const {}
   void operator()(const message::ConfigurationStatus &) const {}
   void operator()(const message::PartEvidence &) const {}
+  void operator()(const message::BackendDeparture &) const {}
   void operator()(const message::BackendLimits &) const {}
   void operator()(const message::SendClaim &) const {}
   void operator()(const message::SendGrant &) const {}
--- a/packages/relay/BackendEvents.cpp
+++ b/packages/relay/BackendEvents.cpp
@@ -86,12 +86,12 @@
   const Backend *server = find(ctx.S.Servers, request.Backend);
   if (server == nullptr)
     return;
-  const LeavingServer leaving{request.Backend, server->Entry.Born};
-  if (!markLeaving(ctx.S.Servers, leaving, ctx.Time))
+  message::BackendDeparture departure = makeDeparture(
+      ctx.S.Servers, {request.Backend, server->Entry.Born}, message::DepartureKind::Announced);
+  if (!applyDeparture(ctx.S.Servers, departure, ctx.Time))
     return;
-  ctx.Out.push_back(
-      LogRecord{"backend_leaving", "", {{"backend", leaving.Id}, {"source", "answer"}}});
-  ctx.Out.push_back(Gossip{message::BackendStatus{leaving.Id, 0, 1, true, leaving.Born}});
+  detail::logDeparture(ctx.Out, departure, "answer");
+  ctx.Out.push_back(Gossip{std::move(departure)});
 }
 
 /// Handles an answer whose server wants no requests from this node for a time.
--- a/packages/relay/BackendListSync.cpp
+++ b/packages/relay/BackendListSync.cpp
@@ -16,8 +16,8 @@
   hash = hashBytes(it.Address, hash);
   hash = hashBytes(it.DataCentre, hash);
   hash = mixHashes(hash, it.Born);
-  return mixHashes(hash, (std::uint64_t{it.Slots} << 2) | (it.Draining ? 2 : 0) |
-                             (it.Reclaimable ? 1 : 0));
+  return mixHashes(hash, (std::uint64_t{it.Slots} << 3) | (it.Missing ? 4 : 0) |
+                             (it.Draining ? 2 : 0) | (it.Reclaimable ? 1 : 0));
 }
 
 } // namespace
@@ -32,11 +32,20 @@
     const BackendEntry &entry = it.Entry;
     out.push_back({entry.Id, entry.Service, entry.Address, entry.DataCentre, entry.Slots,
                    entry.Draining, entry.Reclaimable, entry.Leaves.value_or(0ms), entry.Born,
-                   it.Leaving});
+                   it.MissingSince.has_value()});
   }
   return out;
 }
 
+std::vector<message::BackendDeparture>
+departuresOf(const Backends &backends, std::span<const message::BackendCopy> list, const Now &now) {
+  std::vector<message::BackendDeparture> out;
+  for (const message::BackendCopy &copy : list)
+    for (message::BackendDeparture &it : departuresOf(backends.Departures, copy.Id, now))
+      out.push_back(std::move(it));
+  return out;
+}
+
 std::uint64_t listDigest(std::span<const message::BackendCopy> list) {
   std::uint64_t sum = list.size();
   for (const message::BackendCopy &it : list)
@@ -46,7 +55,7 @@
 
 message::BackendListDelta diffLists(const BackendListSnapshot &before,
                                     const BackendListSnapshot &after, std::uint64_t revision) {
-  message::BackendListDelta diff{revision, listDigest(before), listDigest(after), {}, {}, 0};
+  message::BackendListDelta diff{revision, listDigest(before), listDigest(after), {}, {}, 0, {}};
   if (diff.Before == diff.After)
     return diff;
   std::map<std::string, std::uint64_t> old;
@@ -89,6 +98,7 @@
   for (const message::BackendCopy &it : list) {
     BackendEntry entry{it.Id,       it.Service,     it.Address,   it.DataCentre, it.Slots,
                        it.Draining, it.Reclaimable, std::nullopt, 0ms,           it.Born};
+    entry.Missing = it.Missing;
     if (it.Leaves > 0ms)
       entry.Leaves = it.Leaves;
     out.push_back(std::move(entry));
--- a/packages/relay/BackendListSync.h
+++ b/packages/relay/BackendListSync.h
@@ -24,6 +24,10 @@
 /// Returns the current list without servers that were removed from it.
 BackendListSnapshot takeListSnapshot(const Backends &backends);
 
+/// Returns the departures of these servers that are known, which are sent with the list.
+std::vector<message::BackendDeparture>
+departuresOf(const Backends &backends, std::span<const message::BackendCopy> list, const Now &now);
+
 /// Returns a hash of the list that does not depend on its order or on remaining times.
 std::uint64_t listDigest(std::span<const message::BackendCopy> list);
 
--- a/packages/relay/Backends.cpp
+++ b/packages/relay/Backends.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace chervil::relay {
 namespace {
@@ -37,9 +38,6 @@
 // Relative load added to servers in another data centre. They cost a network hop of about a
 // millisecond and traffic between data centres, so local servers are preferred at equal load.
 constexpr double RemoteDataCentrePenalty = 0.3;
-// A report that a server is leaving expires after this time, so that it outlives the entry in the
-// list.
-constexpr Duration LeavingReportLifetime = 30s;
 
 bool isExcluded(const SelectionCriteria &criteria, const std::string &id) {
   return std::ranges::find(criteria.Excluded, id) != criteria.Excluded.end();
@@ -192,50 +190,82 @@
 
 namespace {
 
-/// A report may arrive before the list contains the server, so only a later start clears it.
-void clearReportsOfEarlierStart(Backends &backends, const BackendEntry &entry) {
-  const auto report = backends.LeavingReports.find(entry.Id);
-  if (report != backends.LeavingReports.end() && entry.Born > report->second.Born)
-    backends.LeavingReports.erase(report);
+ServerStart startOf(const BackendEntry &entry) { return {entry.Id, entry.Born}; }
+
+/// True if a peer keeps an entry that its reading lacks, while this node knows that it has lapsed.
+bool isKnownLapsed(const Backends &backends, const BackendEntry &entry) {
+  return entry.Missing && isDeparting(backends.Departures, startOf(entry));
+}
+
+/// Puts an entry of the list into use. Everything known of an earlier start ends.
+void useEntry(Backends &backends, const BackendEntry &entry, const Now &now) {
+  const auto [known, isNew] = backends.Servers.try_emplace(entry.Id);
+  Backend &it = known->second;
+  // A restarted server may have an earlier wall clock, so that any other `Born` is a new start.
+  const bool hasOtherAddress = it.Entry.Address != entry.Address;
+  if (isNew && entry.Missing)
+    it.MissingSince = now.Steady;
+  if (!isNew && (it.Entry.Born != entry.Born || hasOtherAddress)) {
+    if (entry.Born == 0 && it.Entry.Born == 0)
+      forgetStart(backends.Departures, startOf(entry));
+    const unsigned inflight = it.Inflight;
+    const std::optional<TimePoint> missing = it.MissingSince;
+    it = {};
+    it.Inflight = inflight;
+    it.MissingSince = missing;
+    removeServer(backends.PrefixCache, entry.Id);
+  }
+  it.Entry = entry;
+  if (entry.Missing)
+    return;
+  it.MissingSince.reset();
+  noteListed(backends.Departures, startOf(entry), backends.ListPosition);
 }
 
 } // namespace
 
-std::vector<LeavingServer> applyList(Backends &backends, std::span<const BackendEntry> list,
-                                     bool keepMissing, const Now &now) {
-  std::vector<LeavingServer> leaving;
+message::BackendDeparture makeDeparture(const Backends &backends, const ServerStart &start,
+                                        message::DepartureKind kind) {
+  return {start.Id,
+          start.Born,
+          kind,
+          backends.Node,
+          std::chrono::milliseconds{0},
+          backends.ListPosition.Era,
+          backends.ListPosition.Revision};
+}
+
+std::vector<message::BackendDeparture> applyList(Backends &backends,
+                                                 std::span<const BackendEntry> list,
+                                                 bool keepMissing, const Now &now,
+                                                 const store::Position &position) {
+  std::vector<message::BackendDeparture> added;
+  const auto add = [&](const BackendEntry &entry, message::DepartureKind kind) {
+    message::BackendDeparture it = makeDeparture(backends, startOf(entry), kind);
+    if (addDeparture(backends.Departures, it, position, now))
+      added.push_back(std::move(it));
+  };
+  backends.ListPosition = position;
   for (auto &[id, it] : backends.Servers)
     if (!it.MissingSince)
       it.MissingSince = now.Steady;
+  std::set<std::string_view> kept;
   for (const BackendEntry &entry : list) {
-    const auto [known, isNew] = backends.Servers.try_emplace(entry.Id);
-    Backend &it = known->second;
-    const bool isOtherStart = it.Entry.Born != entry.Born || it.Entry.Address != entry.Address;
-    if (isOtherStart)
-      clearReportsOfEarlierStart(backends, entry);
-    // Reports about a server that is new to this list are about its current start, so they are
-    // kept.
-    if (isOtherStart && !isNew) {
-      const unsigned inflight = it.Inflight;
-      it = {};
-      it.Inflight = inflight;
-      removeServer(backends.PrefixCache, entry.Id);
-    }
-    it.MissingSince.reset();
-    const bool wasLeaving = it.Leaving;
-    it.Entry = entry;
-    it.Leaving = entry.Draining || backends.LeavingReports.contains(entry.Id);
-    if (it.Leaving && !wasLeaving)
-      leaving.push_back({entry.Id, entry.Born});
+    if (isKnownLapsed(backends, entry))
+      continue;
+    if (entry.Missing)
+      kept.insert(entry.Id);
+    useEntry(backends, entry, now);
+    if (entry.Draining)
+      add(entry, message::DepartureKind::Draining);
+    backends.Servers.at(entry.Id).Leaving = isDeparting(backends.Departures, startOf(entry));
   }
-  std::erase_if(backends.LeavingReports, [&](const auto &report) {
-    return now.Steady - report.second.At > LeavingReportLifetime;
-  });
+  prune(backends.Departures, now);
   for (auto it = backends.Servers.begin(); it != backends.Servers.end();) {
     Backend &server = it->second;
-    if (server.MissingSince && !keepMissing) {
-      if (!server.Leaving)
-        leaving.push_back({it->first, server.Entry.Born});
+    if (server.MissingSince && !keepMissing && !kept.contains(it->first)) {
+      add(server.Entry, message::DepartureKind::Lapsed);
+      noteUnlisted(backends.Departures, it->first, now);
       server.Leaving = true;
       if (server.Inflight == 0) {
         removeServer(backends.PrefixCache, it->first);
@@ -245,26 +275,26 @@
     }
     ++it;
   }
-  return leaving;
+  return added;
 }
 
-bool markLeaving(Backends &backends, const LeavingServer &leavingServer, const Now &now) {
-  const auto known = backends.LeavingReports.find(leavingServer.Id);
-  if (known != backends.LeavingReports.end() && known->second.Born >= leavingServer.Born)
-    return false;
-  Backend *it = find(backends, leavingServer.Id);
-  // A report of an earlier start does not apply to the current one.
-  if (it != nullptr && leavingServer.Born != 0 && leavingServer.Born < it->Entry.Born)
-    return false;
-  backends.LeavingReports.insert_or_assign(leavingServer.Id,
-                                           LeavingReport{leavingServer.Born, now.Steady});
-  if (it == nullptr)
-    return true;
-  const bool isNew = !it->Leaving;
-  it->Leaving = true;
+bool applyDeparture(Backends &backends, const message::BackendDeparture &departure,
+                    const Now &now) {
+  const bool isNew = addDeparture(backends.Departures, departure, backends.ListPosition, now);
+  if (Backend *it = find(backends, departure.Backend); it != nullptr && !it->Leaving)
+    it->Leaving = isDeparting(backends.Departures, startOf(it->Entry));
   return isNew;
 }
 
+void confirmList(Backends &backends, const store::Position &position) {
+  backends.ListPosition = position;
+  for (auto &[id, it] : backends.Servers)
+    if (!it.MissingSince) {
+      noteListed(backends.Departures, startOf(it.Entry), position);
+      it.Leaving = isDeparting(backends.Departures, startOf(it.Entry));
+    }
+}
+
 Choice chooseServer(const Backends &backends, const SelectionCriteria &criteria, const Now &now,
                     Random &rng) {
   const std::vector<const Backend *> candidates = eligibleServers(backends, criteria, now);
--- a/packages/relay/Backends.h
+++ b/packages/relay/Backends.h
@@ -10,6 +10,7 @@
 #include "base/Time.h"
 #include "message/BackendLoads.h"
 #include "relay/BackendEntry.h"
+#include "relay/Departures.h"
 #include "relay/PeerLoads.h"
 #include "relay/PrefixCacheIndex.h"
 #include "relay/RequestInfo.h"
@@ -28,7 +29,7 @@
 /// A backend server and what this node knows of its load and health.
 struct Backend {
   BackendEntry Entry;
-  /// Gets no new requests: it is draining, was reclaimed or is no longer listed.
+  /// Gets no new requests, because a departure of this start is known.
   bool Leaving = false;
   /// Since when it has not been listed; empty while it is. It is kept while requests run on it.
   std::optional<TimePoint> MissingSince;
@@ -53,27 +54,17 @@
   TimePoint ClaimDeniedUntil{};
 };
 
-/// A server that is leaving, identified by its id and its start.
-struct LeavingServer {
-  std::string Id;
-  /// See BackendEntry::Born.
-  std::uint64_t Born = 0;
-};
-
-/// Report of a peer that a server is leaving, and when it arrived.
-struct LeavingReport {
-  std::uint64_t Born = 0;
-  TimePoint At{};
-};
-
 /// All backend servers that a node knows.
 struct Backends {
   /// Data centre of this node.
   std::string DataCentre;
   /// By id.
   std::map<std::string, Backend> Servers;
-  /// Servers that peers reported as leaving, by id. A report may precede the entry in the list.
-  std::map<std::string, LeavingReport> LeavingReports;
+  /// Name of this node, which is the source of the departures that it learns itself.
+  std::string Node;
+  /// Position of the store at which the list was read.
+  store::Position ListPosition;
+  relay::Departures Departures;
   /// Work of the other nodes on the servers.
   relay::PeerLoads Peers;
   /// Extrapolates the work of the nodes that reported to all other nodes; 1 if all report.
@@ -112,15 +103,25 @@
   std::string_view Only;
 };
 
-/// Replaces the list of servers. A server that is missing from it starts to leave and is removed
-/// once no request runs on it, unless `keepMissing` is set: entries expire while the store of the
-/// list is unavailable and return afterwards. Returns the servers that started to leave, which the
-/// caller reports to its peers.
-std::vector<LeavingServer> applyList(Backends &backends, std::span<const BackendEntry> list,
-                                     bool keepMissing, const Now &now);
-
-/// Marks a server as leaving on the report of a peer. Returns true if that was new to this node.
-bool markLeaving(Backends &backends, const LeavingServer &server, const Now &now);
+/// Replaces the list of servers by the reading at `position`. A server that is missing from it has
+/// lapsed and is removed once no request runs on it, unless `keepMissing` is set: entries expire
+/// while the store of the list is unavailable and return afterwards. Returns the departures that
+/// are new, which the caller reports to its peers.
+std::vector<message::BackendDeparture> applyList(Backends &backends,
+                                                 std::span<const BackendEntry> list,
+                                                 bool keepMissing, const Now &now,
+                                                 const store::Position &position = {});
+
+/// A later reading, at `position`, gives the list that is in use already.
+void confirmList(Backends &backends, const store::Position &position);
+
+/// Applies a departure that a peer or the server reported; see addDeparture(). Returns true if
+/// peers are to be told.
+bool applyDeparture(Backends &backends, const message::BackendDeparture &departure, const Now &now);
+
+/// Returns a departure that this node learned just now.
+message::BackendDeparture makeDeparture(const Backends &backends, const ServerStart &start,
+                                        message::DepartureKind kind);
 
 /// Chooses a server by load, expected prompt tokens and cached prefixes. The result has no server
 /// if none is eligible.
--- a/packages/relay/BackendsTest.cpp
+++ b/packages/relay/BackendsTest.cpp
@@ -34,6 +34,12 @@
   return criteria;
 }
 
+/// Reports a start as leaving, from a node whose list is not known.
+bool markLeaving(Backends &backends, const char *id, std::uint64_t born) {
+  return applyDeparture(backends, {id, born, message::DepartureKind::Announced, "peer", 0ms, 0, 0},
+                        Start);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(RelayBackends)
@@ -47,7 +53,7 @@
   BOOST_TEST(!b.Servers.at("e1").Leaving);
   const auto leaving = applyList(b, entries(1), false, later(3s));
   BOOST_REQUIRE(leaving.size() == 1U);
-  BOOST_TEST(leaving[0].Id == "e1");
+  BOOST_TEST(leaving[0].Backend == "e1");
   BOOST_TEST(!b.Servers.contains("e1"));
 }
 
@@ -56,7 +62,7 @@
   Backends b;
   auto list = entries(1);
   applyList(b, list, false, Start);
-  BOOST_TEST(markLeaving(b, {"e0", 0}, Start));
+  BOOST_TEST(markLeaving(b, "e0", 0));
   applyList(b, list, false, later(1s));
   BOOST_TEST(b.Servers.at("e0").Leaving);
   list[0].Born = 5;
@@ -68,16 +74,16 @@
 // listed it, and against late reports about an earlier start.
 BOOST_AUTO_TEST_CASE(LeavingReportsBeforeTheListCount) {
   Backends b;
-  BOOST_TEST(markLeaving(b, {"e0", 5}, Start));
-  BOOST_TEST(!markLeaving(b, {"e0", 5}, Start));
+  BOOST_TEST(markLeaving(b, "e0", 5));
+  BOOST_TEST(!markLeaving(b, "e0", 5));
   auto list = entries(2);
   list[0].Born = list[1].Born = 5;
-  applyList(b, list, false, later(1s));
+  applyList(b, list, false, later(1s), {1, 1});
   BOOST_TEST(b.Servers.at("e0").Leaving);
-  BOOST_TEST(!markLeaving(b, {"e1", 4}, later(1s)));
+  BOOST_TEST(!markLeaving(b, "e1", 4));
   BOOST_TEST(!b.Servers.at("e1").Leaving);
   list[0].Born = 6;
-  applyList(b, list, false, later(2s));
+  applyList(b, list, false, later(2s), {1, 2});
   BOOST_TEST(!b.Servers.at("e0").Leaving);
 }
 
--- a/packages/relay/Relay.cpp
+++ b/packages/relay/Relay.cpp
@@ -120,6 +120,7 @@
 State makeState(Options options) {
   State state;
   state.Servers.DataCentre = options.DataCentre;
+  state.Servers.Node = options.Node;
   state.Settings = std::move(options);
   return state;
 }
@@ -161,20 +162,19 @@
 }
 
 void onBackendList(State &state, std::span<const BackendEntry> list, bool keepMissing, Effects &out,
-                   const Now &now) {
-  for (const LeavingServer &it : applyList(state.Servers, list, keepMissing, now)) {
-    out.push_back(LogRecord{"backend_leaving", "", {{"backend", it.Id}, {"source", "list"}}});
-    out.push_back(Gossip{message::BackendStatus{it.Id, 0, 1, true, it.Born}});
+                   const Now &now, const store::Position &position) {
+  for (message::BackendDeparture &it : applyList(state.Servers, list, keepMissing, now, position)) {
+    detail::logDeparture(out, it, "list");
+    out.push_back(Gossip{std::move(it)});
   }
 }
 
-void onBackendStatus(State &state, const message::BackendStatus &status, Effects &out,
-                     const Now &now) {
-  if (!status.Leaving || !markLeaving(state.Servers, {status.Backend, status.Born}, now))
+void onBackendDeparture(State &state, const message::BackendDeparture &departure, Effects &out,
+                        const Now &now) {
+  if (!applyDeparture(state.Servers, departure, now))
     return;
-  out.push_back(
-      LogRecord{"backend_leaving", "", {{"backend", status.Backend}, {"source", "peer"}}});
-  out.push_back(Gossip{status});
+  detail::logDeparture(out, departure, "peer");
+  out.push_back(Gossip{departure});
 }
 
 void onCrashReport(State &state, const message::CrashReport &report, Effects &out, const Now &now) {
--- a/packages/relay/Relay.h
+++ b/packages/relay/Relay.h
@@ -14,8 +14,8 @@
 
 #include "base/Random.h"
 #include "limits/TokenAccount.h"
+#include "message/BackendDeparture.h"
 #include "message/BackendLimits.h"
-#include "message/BackendStatus.h"
 #include "message/CrashReport.h"
 #include "message/PartEvidence.h"
 #include "message/SendClaim.h"
@@ -104,10 +104,10 @@
 
 /// Handles a new list of backend servers; see applyList().
 void onBackendList(State &state, std::span<const BackendEntry> list, bool keepMissing, Effects &out,
-                   const Now &now);
-/// Handles a report of a peer about a backend server.
-void onBackendStatus(State &state, const message::BackendStatus &status, Effects &out,
-                     const Now &now);
+                   const Now &now, const store::Position &position = {});
+/// Handles a report of a peer that a backend server gets no new requests.
+void onBackendDeparture(State &state, const message::BackendDeparture &departure, Effects &out,
+                        const Now &now);
 /// Merges the crash report of a peer and forwards it if it is new.
 void onCrashReport(State &state, const message::CrashReport &report, Effects &out, const Now &now);
 
--- a/packages/relay/RelayTest.cpp
+++ b/packages/relay/RelayTest.cpp
@@ -273,8 +273,8 @@
 // Guards against sending new requests to a server that a peer reported as leaving.
 BOOST_AUTO_TEST_CASE(LeavingServerGetsNothingNew) {
   Fixture f(2);
-  onBackendStatus(f.S, {.Backend = "app0", .Seq = 0, .SlowFactor = 1, .Leaving = true}, f.Out,
-                  f.Time);
+  onBackendDeparture(f.S, {"app0", 0, message::DepartureKind::Announced, "peer", 0ms, 0, 0}, f.Out,
+                     f.Time);
   BOOST_TEST(f.all<Gossip>().size() == 1U);
   for (int i = 0; i < 20; ++i)
     f.request("/safe/x");
--- a/packages/relay/detail/Context.h
+++ b/packages/relay/detail/Context.h
@@ -28,6 +28,10 @@
 /// request.
 void logRequest(Context &ctx, const ActiveRequest &request, const char *event, LogFields fields);
 
+/// Appends the log record of a departure that is new to this node, and counts it. `source` tells
+/// where this node learned it from: "list", "answer" or "peer".
+void logDeparture(Effects &out, const message::BackendDeparture &departure, const char *source);
+
 /// Whole milliseconds, for log records.
 std::string formatMillis(Duration d);
 
--- a/packages/relay/detail/Outcome.cpp
+++ b/packages/relay/detail/Outcome.cpp
@@ -32,6 +32,20 @@
 
 } // namespace
 
+void logDeparture(Effects &out, const message::BackendDeparture &departure, const char *source) {
+  out.push_back(IncrementCounter{"backend_leaving", toString(departure.Kind)});
+  out.push_back(LogRecord{"backend_leaving",
+                          "",
+                          {{"backend", departure.Backend},
+                           {"born", std::to_string(departure.Born)},
+                           {"kind", toString(departure.Kind)},
+                           {"source", source},
+                           {"origin", departure.Source},
+                           {"age_ms", std::to_string(departure.Age.count())},
+                           {"era", std::to_string(departure.Era)},
+                           {"revision", std::to_string(departure.Revision)}}});
+}
+
 std::string formatMillis(Duration d) {
   return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
 }
--- a/packages/store/Mirror.cpp
+++ b/packages/store/Mirror.cpp
@@ -13,8 +13,9 @@
 constexpr unsigned MaxDoublings = 10;
 
 void onAnswer(Mirror &mirror, const Now &now) {
-  if (mirror.Failures > 0 || !mirror.LastAnswer)
-    mirror.ConnectedSince = now.Steady;
+  // A call that failed while other nodes could read is no outage.
+  if (mirror.Failures > 0 && !isConnected(mirror, now))
+    mirror.ReturnedAt = now.Steady;
   mirror.LastAnswer = mirror.CallEnded = now.Steady;
   mirror.Failures = 0;
   mirror.CallPending = false;
@@ -159,7 +160,8 @@
   mirror.Era = era;
   if (isFirst)
     return;
-  mirror.ConnectedSince = mirror.NextCall = now.Steady;
+  mirror.NextCall = now.Steady;
+  mirror.ReturnedAt = now.Steady;
   resetRead(mirror);
 }
 
@@ -190,8 +192,9 @@
 }
 
 void onSharedRead(Mirror &mirror, std::size_t rank, const Now &now) {
-  if (!isConnected(mirror, now))
-    mirror.ConnectedSince = now.Steady;
+  const bool wasConnected = mirror.LastAnswer || mirror.LastSharedRead;
+  if (wasConnected && !isConnected(mirror, now))
+    mirror.ReturnedAt = now.Steady;
   mirror.LastSharedRead = now.Steady;
   scheduleNextRead(mirror, rank, now);
 }
--- a/packages/store/Mirror.h
+++ b/packages/store/Mirror.h
@@ -60,9 +60,12 @@
   std::uint64_t Revision = 0;
   /// Era of the store when Items were read; see Position. 0 if unknown.
   std::uint64_t Era = 0;
-  /// Time of the last answer of the store, and the start of the present period of connection.
+  /// Time of the last answer of the store.
   std::optional<TimePoint> LastAnswer;
-  TimePoint ConnectedSince{};
+  /// When the store was last back after an outage, or from an older copy; empty if it has answered
+  /// since the start of this node. Items may be missing for a while afterwards, until their owners
+  /// have written them again.
+  std::optional<TimePoint> ReturnedAt;
   /// Last time that a read by another node was applied here.
   std::optional<TimePoint> LastSharedRead;
   /// Consecutive failed calls.
--- a/packages/store/MirrorTest.cpp
+++ b/packages/store/MirrorTest.cpp
@@ -118,7 +118,7 @@
   onInterrupted(f.M, f.Time);
   const TimePoint before = f.Time.Steady;
   onRestored(f.M, 2, f.Time);
-  BOOST_TEST((f.M.ConnectedSince == before));
+  BOOST_TEST((f.M.ReturnedAt == before));
   BOOST_TEST(!nextCheck(f.M, 0ms, f.Time).has_value());
   BOOST_TEST((f.next().Type == MirrorCall::Kind::ReadPage));
   onPage(f.M, {{item("p/b", 4)}, false, 5}, f.Time);
@@ -158,6 +158,28 @@
   BOOST_TEST(f.M.Items.size() == 1U);
 }
 
+// Guards against entries that are kept although no outage has hidden them: after a plain start, and
+// after a failed call while other nodes could read.
+BOOST_AUTO_TEST_CASE(StartAndSharedReadsAreNoReturn) {
+  Fixture f;
+  onSharedRead(f.M, 0, f.Time);
+  f.next();
+  onPage(f.M, {{item("p/a", 3)}, false, 10}, f.Time);
+  BOOST_TEST(!f.M.ReturnedAt.has_value());
+  f.next();
+  onSharedRead(f.M, 0, f.Time);
+  onCallFailed(f.M, f.Time, f.Rng);
+  f.Time.Steady += 500ms;
+  onSharedRead(f.M, 0, f.Time);
+  BOOST_TEST(nextCall(f.M, f.Time).has_value());
+  onChanges(f.M, {{}, 11}, f.Time);
+  BOOST_TEST(!f.M.ReturnedAt.has_value());
+  // Silence of the store and of the other nodes is an outage.
+  f.Time.Steady += 3s;
+  onSharedRead(f.M, 0, f.Time);
+  BOOST_TEST((f.M.ReturnedAt == f.Time.Steady));
+}
+
 // Guards against losing the items after a failed call, and against retries without a delay.
 BOOST_AUTO_TEST_CASE(FailureKeepsItemsAndDelaysRetry) {
   Fixture f;
@@ -168,9 +190,9 @@
   BOOST_TEST(!nextCall(f.M, f.Time).has_value());
   BOOST_TEST(f.M.Items.size() == 1U);
   BOOST_TEST((f.next().Type == MirrorCall::Kind::Watch));
-  const TimePoint before = f.M.ConnectedSince;
+  BOOST_TEST(!f.M.ReturnedAt.has_value());
   onChanges(f.M, {{}, 11}, f.Time);
-  BOOST_TEST((f.M.ConnectedSince > before));
+  BOOST_TEST((f.M.ReturnedAt == f.Time.Steady));
 }
 
 // Guards against a copy that differs from the store after any sequence of pages, changes, failures
--- a/packages/wire/CodecTest.cpp
+++ b/packages/wire/CodecTest.cpp
@@ -167,6 +167,9 @@
   const std::vector<std::string> key = {"c", "k"};
   BOOST_TEST((codeOf(type(7, key, 1, 2, 0, 0, 0, 0)) == ResultCode::Ok));
   BOOST_TEST((codeOf(type(7, key, 1, 3, 0, 0, 0, 0)) == ResultCode::PeerBadFrame));
+  // The same for the kind of BackendDeparture (type 44).
+  BOOST_TEST((codeOf(type(44, name, 1, 2, name, 0, 1, 1)) == ResultCode::Ok));
+  BOOST_TEST((codeOf(type(44, name, 1, 3, name, 0, 1, 1)) == ResultCode::PeerBadFrame));
   BOOST_TEST((codeOf("") == ResultCode::PeerBadFrame));
   BOOST_TEST((codeOf(pack([](auto &out) { out.pack_array(0); })) == ResultCode::PeerBadFrame));
   BOOST_TEST((codeOf(pack([](auto &out) { out.pack_map(0); })) == ResultCode::PeerBadFrame));
--- a/packages/wire/detail/Fields.h
+++ b/packages/wire/detail/Fields.h
@@ -144,10 +144,13 @@
 }
 template <MaybeConst<message::BackendCopy> M> auto fields(M &m) {
   return std::tie(m.Id, m.Service, m.Address, m.DataCentre, m.Slots, m.Draining, m.Reclaimable,
-                  m.Leaves, m.Born, m.Leaving);
+                  m.Leaves, m.Born, m.Missing);
+}
+template <MaybeConst<message::BackendDeparture> M> auto fields(M &m) {
+  return std::tie(m.Backend, m.Born, m.Kind, m.Source, m.Age, m.Era, m.Revision);
 }
 template <MaybeConst<message::BackendListCopy> M> auto fields(M &m) {
-  return std::tie(m.Revision, m.Backends, m.Era);
+  return std::tie(m.Revision, m.Backends, m.Era, m.Departures, m.KeepMissing);
 }
 template <MaybeConst<message::BackendLoad> M> auto fields(M &m) {
   return std::tie(m.Backend, m.PendingTokens, m.Running);
@@ -183,7 +186,7 @@
   return std::tie(m.Version, m.Age);
 }
 template <MaybeConst<message::BackendListDelta> M> auto fields(M &m) {
-  return std::tie(m.Revision, m.Before, m.After, m.Changed, m.Removed, m.Era);
+  return std::tie(m.Revision, m.Before, m.After, m.Changed, m.Removed, m.Era, m.Departures);
 }
 template <MaybeConst<message::BackendPromptParts> M> auto fields(M &m) {
   return std::tie(m.Backend, m.Parts);
@@ -205,6 +208,7 @@
 template <> constexpr std::uint64_t maxEnumValue<message::WorkKind>() { return 1; }
 template <> constexpr std::uint64_t maxEnumValue<message::SubmitDecision>() { return 2; }
 template <> constexpr std::uint64_t maxEnumValue<message::CopyPlacement>() { return 2; }
+template <> constexpr std::uint64_t maxEnumValue<message::DepartureKind>() { return 2; }
 /// All values are accepted, so that newer versions may add codes: info() treats unknown ones as
 /// Internal.
 template <> constexpr std::uint64_t maxEnumValue<ResultCode>() { return 0xffff; }
