retry, relay: refusal of a content ends by time, probe or answer

Cause: a content on which three servers had ended was refused until the node restarted. The check counted expired crashes, nothing removed them, and a refused content was never sent again.

Change: crashes count until they expire, 10 min after the last one, and expired entries are dropped. A refused content is probed from 30 s after the last crash, later with each further crash. An answer to a request that was sent after the crashes ends their evidence, here and at the peers (CrashReport with Answered). A late copy of the earlier crashes does not count afterwards.

--- a/packages/message/CrashReport.h
+++ b/packages/message/CrashReport.h
@@ -18,6 +18,10 @@
   std::chrono::milliseconds Lifetime{0};
   /// True if the content ran as a suspect, isolated from other requests, when the back ends died.
   bool Alone = false;
+  /// True if the content was answered instead: this ends the suspicion from crashes that were
+  /// before the request was sent. Backends is empty, and Lifetime is that of a crash at this
+  /// moment.
+  bool Answered = false;
 };
 
 } // namespace chervil::message
--- a/packages/relay/BackendEvents.cpp
+++ b/packages/relay/BackendEvents.cpp
@@ -124,6 +124,16 @@
          request.Status != 0 ? ResultCode::BackendBadAnswer : ResultCode::BackendDied);
 }
 
+/// Handles a complete answer of the server itself, which did not crash on the content.
+void onContentAnswered(Context &ctx, const ActiveRequest &request) {
+  auto report =
+      retry::recordAnswer(ctx.S.Quarantine, request.Info.ContentHash, request.Sent, ctx.Time);
+  if (!report)
+    return;
+  detail::logRequest(ctx, request, "content_cleared", {});
+  ctx.Out.push_back(Gossip{std::move(*report)});
+}
+
 /// Forwards bytes of a stream. On resumable routes, only complete events that the caller does not
 /// have yet are forwarded.
 void streamEvents(Context &ctx, ActiveRequest &request, std::string_view bytes) {
@@ -163,6 +173,7 @@
 void onCompleteAnswer(Context &ctx, ActiveRequest &request) {
   if (isStreamed(request)) {
     detail::onAnswerProgress(ctx, request, true);
+    onContentAnswered(ctx, request);
     recordOutcome(ctx.S.Servers, request.Backend, SendOutcome::Success, ctx.Time);
     ++request.PossibleRuns;
     if (!request.Events.Partial.empty())
@@ -174,6 +185,7 @@
     onLost(ctx, request, ResultCode::BackendBadAnswer);
     return;
   }
+  onContentAnswered(ctx, request);
   // These statuses tell callers that the request did not run. They are not forwarded from a server
   // that did not declare that.
   const bool claimsNotRun = request.Status == 503 || request.Status == 429 ||
--- a/packages/relay/Relay.cpp
+++ b/packages/relay/Relay.cpp
@@ -82,15 +82,17 @@
 }
 
 /// Returns true if requests with this content have crashed too many servers.
-bool isContentQuarantined(const State &state, std::uint64_t contentHash) {
-  const auto it = state.Quarantine.Crashes.find(contentHash);
-  return it != state.Quarantine.Crashes.end() &&
-         it->second.Backends.size() >= detail::CrashesToRefuse;
+bool isContentQuarantined(const Context &ctx, std::uint64_t contentHash) {
+  return retry::crashCount(ctx.S.Quarantine, contentHash, ctx.Time) >= detail::CrashesToRefuse;
 }
 
-/// Decides whether this node sends one request that is quarantined because of its prompt.
+/// Decides whether this node sends one request that is quarantined because of its prompt or of its
+/// whole content.
 bool sendsProbe(const Context &ctx, const RequestInfo &info) {
-  if (!retry::isProbeDue(ctx.S.PartQuarantine, sharedParts(info.Prompt), ctx.Time))
+  const bool isContentDue =
+      !isContentQuarantined(ctx, info.ContentHash) ||
+      retry::isProbeDue(ctx.S.Quarantine, info.ContentHash, detail::CrashesToRefuse, ctx.Time);
+  if (!isContentDue || !retry::isProbeDue(ctx.S.PartQuarantine, sharedParts(info.Prompt), ctx.Time))
     return false;
   const double nodes = double(std::max<std::size_t>(1, ctx.S.LiveNodes));
   return std::bernoulli_distribution(ProbesOfAllNodes / nodes)(ctx.Rng);
@@ -217,10 +219,10 @@
       return;
     }
   }
-  const bool isPartQuarantined =
-      retry::isQuarantined(state.PartQuarantine, sharedParts(info.Prompt));
-  const bool isProbe = isPartQuarantined && sendsProbe(ctx, info);
-  if (isContentQuarantined(state, info.ContentHash) || (isPartQuarantined && !isProbe)) {
+  const bool isQuarantined = isContentQuarantined(ctx, info.ContentHash) ||
+                             retry::isQuarantined(state.PartQuarantine, sharedParts(info.Prompt));
+  const bool isProbe = isQuarantined && sendsProbe(ctx, info);
+  if (isQuarantined && !isProbe) {
     refuseUnadmitted(ctx, id, info, ResultCode::Quarantined, 503, detail::QuarantineRetryAfter);
     return;
   }
@@ -304,6 +306,7 @@
   if (now.Steady >= state.NextQuarantineShare) {
     state.NextQuarantineShare = now.Steady + QuarantineSharePeriod;
     retry::prune(state.PartQuarantine, now);
+    retry::prune(state.Quarantine, now);
     message::PartEvidence evidence = retry::evidenceOfQuarantines(state.PartQuarantine, now);
     if (!retry::isEmpty(evidence))
       out.push_back(Gossip{std::move(evidence)});
--- a/packages/relay/RelayTest.cpp
+++ b/packages/relay/RelayTest.cpp
@@ -298,6 +298,59 @@
   BOOST_TEST(f.all<CallBackend>().size() == 1U);
 }
 
+// Guards against a content that is refused for the lifetime of the node, and against a suspicion
+// that outlives an answer.
+BOOST_AUTO_TEST_CASE(RefusedContentIsTriedAgainAndClearedByAnAnswer) {
+  const auto crash = [](Fixture &f) {
+    for (int i = 0; i < 3; ++i) {
+      f.request("/unsafe/x");
+      f.end(f.call().Call, BackendEnd::Broken);
+    }
+    f.Out.clear();
+  };
+  const auto sendUntilProbe = [](Fixture &f) {
+    for (int i = 0; i < 100 && f.all<CallBackend>().empty(); ++i)
+      f.request("/unsafe/x");
+    const CallBackend it = f.call();
+    f.Out.clear();
+    return it;
+  };
+  Fixture expired(8);
+  crash(expired);
+  expired.wait(retry::QuarantineTime + 1s);
+  expired.request("/unsafe/x");
+  BOOST_TEST(expired.all<CallBackend>().size() == 1U);
+
+  Fixture f(8);
+  crash(f);
+  f.wait(retry::FirstContentProbeDelay - 1s);
+  for (int i = 0; i < 100; ++i)
+    f.request("/unsafe/x");
+  BOOST_TEST(f.all<CallBackend>().empty());
+  f.wait(1s);
+  // A crash of the probe puts the next one off.
+  f.end(sendUntilProbe(f).Call, BackendEnd::Broken);
+  f.Out.clear();
+  f.wait(retry::FirstContentProbeDelay);
+  for (int i = 0; i < 100; ++i)
+    f.request("/unsafe/x");
+  BOOST_TEST(f.all<CallBackend>().empty());
+  f.wait(retry::FirstContentProbeDelay);
+  f.answer(sendUntilProbe(f).Call, 200);
+  const auto report = std::get<message::CrashReport>(f.only<Gossip>().Message);
+  BOOST_TEST(report.Answered);
+  f.Out.clear();
+  f.request("/unsafe/x");
+  BOOST_TEST(f.all<CallBackend>().size() == 1U);
+  // A peer learns it too.
+  Fixture peer(8);
+  crash(peer);
+  onCrashReport(peer.S, {7, {}, 10min, false, true}, peer.Out, peer.Time);
+  BOOST_TEST(peer.all<Gossip>().size() == 1U);
+  peer.request("/unsafe/x");
+  BOOST_TEST(peer.all<CallBackend>().size() == 1U);
+}
+
 // Guards against sequences of events after which a request is answered twice or never, a request
 // that is not idempotent runs twice, or the caller is told that a request did not run although it
 // was sent and not rejected.
--- a/packages/retry/Quarantine.cpp
+++ b/packages/retry/Quarantine.cpp
@@ -6,15 +6,38 @@
 namespace chervil::retry {
 namespace {
 
-// An entry lives as long as its latest crash, so that a quarantine lasts for QuarantineTime
-// after the crash that caused it.
-TimePoint expiry(const ContentCrashes &crashes) {
+// A quarantine lasts for QuarantineTime after the latest crash.
+TimePoint crashExpiry(const ContentCrashes &crashes) {
   TimePoint latest = TimePoint::min();
   for (const auto &[backend, until] : crashes.Backends)
     latest = std::max(latest, until);
   return latest;
 }
 
+// An entry also lives as long as its latest answer, so that a late report of an earlier crash does
+// not count.
+TimePoint expiry(const ContentCrashes &crashes) {
+  return std::max(crashExpiry(crashes), crashes.AnsweredUntil.value_or(TimePoint::min()));
+}
+
+// Drops the crashes before an answered request. Returns true if there were any.
+bool dropAnswered(ContentCrashes &crashes) {
+  const std::size_t dropped = std::erase_if(crashes.Backends, [&](const auto &it) {
+    return crashes.AnsweredUntil && it.second <= *crashes.AnsweredUntil;
+  });
+  if (crashes.Backends.empty())
+    crashes.CrashedAlone = false;
+  return dropped > 0;
+}
+
+bool mergeAnswer(Quarantine &quarantine, std::uint64_t contentHash, TimePoint until) {
+  const auto it = quarantine.Crashes.find(contentHash);
+  if (it == quarantine.Crashes.end())
+    return false;
+  it->second.AnsweredUntil = std::max(it->second.AnsweredUntil.value_or(until), until);
+  return dropAnswered(it->second);
+}
+
 // Keeps the back ends that crashed last. Ties are broken by name, so that the result does not
 // depend on the order of merges.
 void evictOldestBackends(std::map<std::string, TimePoint> &backends) {
@@ -37,7 +60,7 @@
 ContentStatus contentStatus(const Quarantine &quarantine, std::uint64_t contentHash,
                             const Now &now) {
   const auto it = quarantine.Crashes.find(contentHash);
-  if (it == quarantine.Crashes.end() || expiry(it->second) <= now.Steady)
+  if (it == quarantine.Crashes.end() || crashExpiry(it->second) <= now.Steady)
     return ContentStatus::Clear;
   const ContentCrashes &crashes = it->second;
   return crashes.CrashedAlone && crashes.Backends.size() >= CrashesToQuarantine
@@ -48,9 +71,38 @@
 std::optional<TimePoint> lastCrash(const Quarantine &quarantine, std::uint64_t contentHash,
                                    const Now &now) {
   const auto it = quarantine.Crashes.find(contentHash);
-  if (it == quarantine.Crashes.end() || expiry(it->second) <= now.Steady)
+  if (it == quarantine.Crashes.end() || crashExpiry(it->second) <= now.Steady)
     return std::nullopt;
-  return expiry(it->second) - QuarantineTime;
+  return crashExpiry(it->second) - QuarantineTime;
+}
+
+std::size_t crashCount(const Quarantine &quarantine, std::uint64_t contentHash, const Now &now) {
+  return lastCrash(quarantine, contentHash, now)
+             ? quarantine.Crashes.at(contentHash).Backends.size()
+             : 0;
+}
+
+bool isProbeDue(const Quarantine &quarantine, std::uint64_t contentHash,
+                std::size_t crashesToRefuse, const Now &now) {
+  const auto last = lastCrash(quarantine, contentHash, now);
+  if (!last)
+    return true;
+  const std::size_t crashes = crashCount(quarantine, contentHash, now);
+  return now.Steady - *last >=
+         FirstContentProbeDelay * (1 << (crashes - std::min(crashes, crashesToRefuse)));
+}
+
+std::optional<message::CrashReport> recordAnswer(Quarantine &quarantine, std::uint64_t contentHash,
+                                                 TimePoint sent, const Now &now) {
+  const TimePoint until = sent + QuarantineTime;
+  if (until <= now.Steady || !mergeAnswer(quarantine, contentHash, until))
+    return std::nullopt;
+  return message::CrashReport{
+      contentHash,
+      {},
+      std::chrono::duration_cast<std::chrono::milliseconds>(until - now.Steady),
+      false,
+      true};
 }
 
 std::vector<std::uint64_t> suspectsOfCrash(const Quarantine &quarantine, TimePoint crashTime,
@@ -70,7 +122,8 @@
   message::CrashReport report{contentHash,
                               {backend},
                               std::chrono::duration_cast<std::chrono::milliseconds>(QuarantineTime),
-                              alone};
+                              alone,
+                              false};
   mergeCrashReport(quarantine, report, now);
   return report;
 }
@@ -80,7 +133,11 @@
   // differences would count as new and nodes would forward the same report to each other forever.
   constexpr Duration minExtension = std::chrono::seconds(5);
   const Duration lifetime = std::min<Duration>(report.Lifetime, QuarantineTime);
-  if (lifetime <= Duration::zero() || report.Backends.empty())
+  if (lifetime <= Duration::zero())
+    return false;
+  if (report.Answered)
+    return mergeAnswer(quarantine, report.ContentHash, now.Steady + lifetime);
+  if (report.Backends.empty())
     return false;
   ContentCrashes &crashes = quarantine.Crashes[report.ContentHash];
   if (expiry(crashes) <= now.Steady)
@@ -92,6 +149,7 @@
     known = std::max(known, until);
   }
   crashes.CrashedAlone |= report.Alone;
+  dropAnswered(crashes);
   evictOldestBackends(crashes.Backends);
   const bool isNew =
       crashes.CrashedAlone != before.CrashedAlone ||
@@ -111,7 +169,8 @@
         result.push_back({hash,
                           {backend},
                           std::chrono::ceil<std::chrono::milliseconds>(until - now.Steady),
-                          crashes.CrashedAlone});
+                          crashes.CrashedAlone,
+                          false});
   return result;
 }
 
--- a/packages/retry/Quarantine.h
+++ b/packages/retry/Quarantine.h
@@ -31,6 +31,10 @@
 /// Contents tracked. Bounds memory; the content that expires first is evicted.
 inline constexpr std::size_t MaxTrackedContents = 10000;
 
+/// A refused content is tried again this long after its last crash if it had the least number of
+/// crashes, and after twice the time for each further crash: few crashes may be a coincidence.
+inline constexpr Duration FirstContentProbeDelay = std::chrono::seconds(30);
+
 /// How requests with a given content are treated.
 enum class ContentStatus : std::uint8_t {
   /// No recent crash.
@@ -47,6 +51,9 @@
   std::map<std::string, TimePoint> Backends;
   /// At least one of them crashed while the content ran as a suspect.
   bool CrashedAlone = false;
+  /// When a crash at the moment at which the last answered request was sent would expire. Crashes
+  /// that expire earlier were before it and do not count.
+  std::optional<TimePoint> AnsweredUntil;
 
   bool operator==(const ContentCrashes &) const = default;
 };
@@ -66,6 +73,20 @@
 std::optional<TimePoint> lastCrash(const Quarantine &quarantine, std::uint64_t contentHash,
                                    const Now &now);
 
+/// Returns the number of back ends that crashed while they ran the content; 0 once the latest crash
+/// has expired.
+std::size_t crashCount(const Quarantine &quarantine, std::uint64_t contentHash, const Now &now);
+
+/// True if a content that is refused after `crashesToRefuse` crashes may be sent once, to find out
+/// whether it still crashes its back end.
+bool isProbeDue(const Quarantine &quarantine, std::uint64_t contentHash,
+                std::size_t crashesToRefuse, const Now &now);
+
+/// Records that a request with the content, sent at `sent`, was answered, which ends the suspicion
+/// from earlier crashes. Returns the report for the peers; empty if there was none.
+std::optional<message::CrashReport> recordAnswer(Quarantine &quarantine, std::uint64_t contentHash,
+                                                 TimePoint sent, const Now &now);
+
 /// Returns the hashes of suspect contents, in ascending order, whose latest crash differs by at
 /// most `tolerance` from `crashTime`: they may have run on the back end that crashed then.
 std::vector<std::uint64_t> suspectsOfCrash(const Quarantine &quarantine, TimePoint crashTime,
--- a/packages/retry/QuarantineTest.cpp
+++ b/packages/retry/QuarantineTest.cpp
@@ -103,4 +103,40 @@
   BOOST_TEST(!q.Crashes.contains(0));
 }
 
+// Guards against a content that stays refused after it was answered, and against late reports of
+// crashes before that.
+BOOST_AUTO_TEST_CASE(AnswerEndsTheSuspicionOfEarlierCrashes) {
+  Quarantine q;
+  Quarantine peer;
+  const auto first = recordCrash(q, 7, "e1", false, at(0s));
+  mergeCrashReport(peer, first, at(0s));
+  BOOST_TEST(!recordAnswer(q, 8, at(10s).Steady, at(11s)).has_value());
+  mergeCrashReport(peer, recordCrash(q, 7, "e2", false, at(10500ms)), at(10500ms));
+  // The request was sent between the two crashes.
+  const auto answer = recordAnswer(q, 7, at(10s).Steady, at(11s));
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(crashCount(q, 7, at(11s)) == 1U);
+  BOOST_TEST(mergeCrashReport(peer, *answer, at(11s)));
+  BOOST_TEST(!mergeCrashReport(peer, *answer, at(11s)));
+  BOOST_TEST(!mergeCrashReport(peer, {7, {"e1"}, 589s, false, false}, at(11s)));
+  BOOST_TEST(crashCount(peer, 7, at(11s)) == 1U);
+  BOOST_TEST(recordAnswer(q, 7, at(12s).Steady, at(13s)).has_value());
+  BOOST_TEST((contentStatus(q, 7, at(13s)) == ContentStatus::Clear));
+  BOOST_TEST(allCrashReports(q, at(13s)).empty());
+}
+
+// Guards against a probe that comes too soon, and against one that never comes.
+BOOST_AUTO_TEST_CASE(RefusedContentIsProbedLessOftenWithEachCrash) {
+  Quarantine q;
+  for (const char *backend : {"e1", "e2", "e3"})
+    recordCrash(q, 7, backend, false, at(0s));
+  BOOST_TEST(!isProbeDue(q, 7, 3, at(29s)));
+  BOOST_TEST(isProbeDue(q, 7, 3, at(30s)));
+  recordCrash(q, 7, "e4", false, at(30s));
+  BOOST_TEST(!isProbeDue(q, 7, 3, at(89s)));
+  BOOST_TEST(isProbeDue(q, 7, 3, at(90s)));
+  BOOST_TEST(crashCount(q, 7, at(10min)) == 4U);
+  BOOST_TEST(crashCount(q, 7, at(11min)) == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
