--- a/packages/relay/BackendsTest.cpp
+++ b/packages/relay/BackendsTest.cpp
@@ -214,4 +214,30 @@
   BOOST_TEST((chooseServer(b, criteria, Start, rng).Server != nullptr));
 }
 
+// Guards against a server that stays avoided, paused or limited after what ends that: a success, or
+// another start.
+BOOST_AUTO_TEST_CASE(InferredStateEndsWithASuccessOrAnotherStart) {
+  Backends b;
+  auto list = entries(1);
+  list[0].Born = 5;
+  applyList(b, list, false, Start);
+  Backend &it = b.Servers.at("e0");
+  for (int i = 0; i < 3; ++i)
+    recordOutcome(b, "e0", SendOutcome::Broken, Start);
+  BOOST_TEST((it.AvoidUntil > Start.Steady));
+  recordOutcome(b, "e0", SendOutcome::Success, Start);
+  BOOST_TEST((it.AvoidUntil <= Start.Steady));
+  for (const std::uint64_t born : {6U, 4U}) {
+    for (int i = 0; i < 3; ++i)
+      recordOutcome(b, "e0", SendOutcome::Broken, Start);
+    pauseServer(b, "e0", 60s, Start);
+    it.Limit = RequestLimit{1.0, Start.Steady, NoticeSource::Answer};
+    list[0].Born = born;
+    applyList(b, list, false, Start);
+    BOOST_TEST((it.AvoidUntil <= Start.Steady));
+    BOOST_TEST((it.NothingUntil <= Start.Steady));
+    BOOST_TEST(!it.Limit.has_value());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
