--- a/packages/relay/BackendEvents.cpp
+++ b/packages/relay/BackendEvents.cpp
@@ -92,12 +92,12 @@
   const Backend *server = find(ctx.S.Servers, request.Backend);
   if (server == nullptr)
     return;
-  const LeavingServer leaving{request.Backend, server->Entry.Born};
-  if (!markLeaving(ctx.S.Servers, leaving, ctx.Time))
+  message::BackendDeparture departure = makeDeparture(
+      ctx.S.Servers, {request.Backend, server->Entry.Born}, message::DepartureKind::Announced);
+  if (!applyDeparture(ctx.S.Servers, departure, ctx.Time))
     return;
-  ctx.Out.push_back(
-      LogRecord{"backend_leaving", "", {{"backend", leaving.Id}, {"source", "answer"}}});
-  ctx.Out.push_back(Gossip{message::BackendStatus{leaving.Id, 0, 1, true, leaving.Born}});
+  detail::logDeparture(ctx.Out, departure, "answer");
+  ctx.Out.push_back(Gossip{std::move(departure)});
 }
 
 /// Handles an answer whose server wants no requests from this node for a time.
@@ -146,6 +146,16 @@
   request.EventsSince = ctx.Time.Steady;
 }
 
+/// Handles a complete answer of the server itself, which did not crash on the content.
+void onContentAnswered(Context &ctx, const ActiveRequest &request) {
+  auto report =
+      retry::recordAnswer(ctx.S.Quarantine, request.Info.ContentHash, request.Sent, ctx.Time);
+  if (!report)
+    return;
+  detail::logRequest(ctx, request, "content_cleared", {});
+  ctx.Out.push_back(Gossip{std::move(*report)});
+}
+
 /// Forwards bytes of a stream. On resumable routes, only complete events that the caller does not
 /// have yet are forwarded.
 void streamEvents(Context &ctx, ActiveRequest &request, std::string_view bytes) {
@@ -187,6 +197,7 @@
 void onCompleteAnswer(Context &ctx, ActiveRequest &request) {
   if (isStreamed(request)) {
     detail::onAnswerProgress(ctx, request, true);
+    onContentAnswered(ctx, request);
     recordOutcome(ctx.S.Servers, request.Backend, SendOutcome::Success, ctx.Time);
     ++request.PossibleRuns;
     if (!request.Events.Partial.empty())
@@ -198,6 +209,7 @@
     onLost(ctx, request, ResultCode::BackendBadAnswer);
     return;
   }
+  onContentAnswered(ctx, request);
   // These statuses tell callers that the request did not run. They are not forwarded from a server
   // that did not declare that.
   const bool claimsNotRun = request.Status == 503 || request.Status == 429 ||
--- a/packages/relay/BackendsTest.cpp
+++ b/packages/relay/BackendsTest.cpp
@@ -34,6 +34,12 @@
   return criteria;
 }
 
+/// Reports a start as leaving, from a node whose list is not known.
+bool markLeaving(Backends &backends, const char *id, std::uint64_t born) {
+  return applyDeparture(backends, {id, born, message::DepartureKind::Announced, "peer", 0ms, 0, 0},
+                        Start);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(RelayBackends)
@@ -47,7 +53,7 @@
   BOOST_TEST(!b.Servers.at("e1").Leaving);
   const auto leaving = applyList(b, entries(1), false, later(3s));
   BOOST_REQUIRE(leaving.size() == 1U);
-  BOOST_TEST(leaving[0].Id == "e1");
+  BOOST_TEST(leaving[0].Backend == "e1");
   BOOST_TEST(!b.Servers.contains("e1"));
 }
 
@@ -56,7 +62,7 @@
   Backends b;
   auto list = entries(1);
   applyList(b, list, false, Start);
-  BOOST_TEST(markLeaving(b, {"e0", 0}, Start));
+  BOOST_TEST(markLeaving(b, "e0", 0));
   applyList(b, list, false, later(1s));
   BOOST_TEST(b.Servers.at("e0").Leaving);
   list[0].Born = 5;
@@ -68,16 +74,16 @@
 // listed it, and against late reports about an earlier start.
 BOOST_AUTO_TEST_CASE(LeavingReportsBeforeTheListCount) {
   Backends b;
-  BOOST_TEST(markLeaving(b, {"e0", 5}, Start));
-  BOOST_TEST(!markLeaving(b, {"e0", 5}, Start));
+  BOOST_TEST(markLeaving(b, "e0", 5));
+  BOOST_TEST(!markLeaving(b, "e0", 5));
   auto list = entries(2);
   list[0].Born = list[1].Born = 5;
-  applyList(b, list, false, later(1s));
+  applyList(b, list, false, later(1s), {1, 1});
   BOOST_TEST(b.Servers.at("e0").Leaving);
-  BOOST_TEST(!markLeaving(b, {"e1", 4}, later(1s)));
+  BOOST_TEST(!markLeaving(b, "e1", 4));
   BOOST_TEST(!b.Servers.at("e1").Leaving);
   list[0].Born = 6;
-  applyList(b, list, false, later(2s));
+  applyList(b, list, false, later(2s), {1, 2});
   BOOST_TEST(!b.Servers.at("e0").Leaving);
 }
 
@@ -208,4 +214,30 @@
   BOOST_TEST((chooseServer(b, criteria, Start, rng).Server != nullptr));
 }
 
+// Guards against a server that stays avoided, paused or limited after what ends that: a success, or
+// another start.
+BOOST_AUTO_TEST_CASE(InferredStateEndsWithASuccessOrAnotherStart) {
+  Backends b;
+  auto list = entries(1);
+  list[0].Born = 5;
+  applyList(b, list, false, Start);
+  Backend &it = b.Servers.at("e0");
+  for (int i = 0; i < 3; ++i)
+    recordOutcome(b, "e0", SendOutcome::Broken, Start);
+  BOOST_TEST((it.AvoidUntil > Start.Steady));
+  recordOutcome(b, "e0", SendOutcome::Success, Start);
+  BOOST_TEST((it.AvoidUntil <= Start.Steady));
+  for (const std::uint64_t born : {6U, 4U}) {
+    for (int i = 0; i < 3; ++i)
+      recordOutcome(b, "e0", SendOutcome::Broken, Start);
+    pauseServer(b, "e0", 60s, Start);
+    it.Limit = RequestLimit{1.0, Start.Steady, NoticeSource::Answer};
+    list[0].Born = born;
+    applyList(b, list, false, Start);
+    BOOST_TEST((it.AvoidUntil <= Start.Steady));
+    BOOST_TEST((it.NothingUntil <= Start.Steady));
+    BOOST_TEST(!it.Limit.has_value());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/relay/Relay.cpp
+++ b/packages/relay/Relay.cpp
@@ -82,15 +82,17 @@
 }
 
 /// Returns true if requests with this content have crashed too many servers.
-bool isContentQuarantined(const State &state, std::uint64_t contentHash) {
-  const auto it = state.Quarantine.Crashes.find(contentHash);
-  return it != state.Quarantine.Crashes.end() &&
-         it->second.Backends.size() >= detail::CrashesToRefuse;
+bool isContentQuarantined(const Context &ctx, std::uint64_t contentHash) {
+  return retry::crashCount(ctx.S.Quarantine, contentHash, ctx.Time) >= detail::CrashesToRefuse;
 }
 
-/// Decides whether this node sends one request that is quarantined because of its prompt.
+/// Decides whether this node sends one request that is quarantined because of its prompt or of its
+/// whole content.
 bool sendsProbe(const Context &ctx, const RequestInfo &info) {
-  if (!retry::isProbeDue(ctx.S.PartQuarantine, sharedParts(info.Prompt), ctx.Time))
+  const bool isContentDue =
+      !isContentQuarantined(ctx, info.ContentHash) ||
+      retry::isProbeDue(ctx.S.Quarantine, info.ContentHash, detail::CrashesToRefuse, ctx.Time);
+  if (!isContentDue || !retry::isProbeDue(ctx.S.PartQuarantine, sharedParts(info.Prompt), ctx.Time))
     return false;
   const double nodes = double(std::max<std::size_t>(1, ctx.S.LiveNodes));
   return std::bernoulli_distribution(ProbesOfAllNodes / nodes)(ctx.Rng);
@@ -120,6 +122,7 @@
 State makeState(Options options) {
   State state;
   state.Servers.DataCentre = options.DataCentre;
+  state.Servers.Node = options.Node;
   state.Settings = std::move(options);
   return state;
 }
@@ -161,20 +164,19 @@
 }
 
 void onBackendList(State &state, std::span<const BackendEntry> list, bool keepMissing, Effects &out,
-                   const Now &now) {
-  for (const LeavingServer &it : applyList(state.Servers, list, keepMissing, now)) {
-    out.push_back(LogRecord{"backend_leaving", "", {{"backend", it.Id}, {"source", "list"}}});
-    out.push_back(Gossip{message::BackendStatus{it.Id, 0, 1, true, it.Born}});
+                   const Now &now, const store::Position &position) {
+  for (message::BackendDeparture &it : applyList(state.Servers, list, keepMissing, now, position)) {
+    detail::logDeparture(out, it, "list");
+    out.push_back(Gossip{std::move(it)});
   }
 }
 
-void onBackendStatus(State &state, const message::BackendStatus &status, Effects &out,
-                     const Now &now) {
-  if (!status.Leaving || !markLeaving(state.Servers, {status.Backend, status.Born}, now))
+void onBackendDeparture(State &state, const message::BackendDeparture &departure, Effects &out,
+                        const Now &now) {
+  if (!applyDeparture(state.Servers, departure, now))
     return;
-  out.push_back(
-      LogRecord{"backend_leaving", "", {{"backend", status.Backend}, {"source", "peer"}}});
-  out.push_back(Gossip{status});
+  detail::logDeparture(out, departure, "peer");
+  out.push_back(Gossip{departure});
 }
 
 void onCrashReport(State &state, const message::CrashReport &report, Effects &out, const Now &now) {
@@ -217,10 +219,10 @@
       return;
     }
   }
-  const bool isPartQuarantined =
-      retry::isQuarantined(state.PartQuarantine, sharedParts(info.Prompt));
-  const bool isProbe = isPartQuarantined && sendsProbe(ctx, info);
-  if (isContentQuarantined(state, info.ContentHash) || (isPartQuarantined && !isProbe)) {
+  const bool isQuarantined = isContentQuarantined(ctx, info.ContentHash) ||
+                             retry::isQuarantined(state.PartQuarantine, sharedParts(info.Prompt));
+  const bool isProbe = isQuarantined && sendsProbe(ctx, info);
+  if (isQuarantined && !isProbe) {
     refuseUnadmitted(ctx, id, info, ResultCode::Quarantined, 503, detail::QuarantineRetryAfter);
     return;
   }
@@ -304,6 +306,7 @@
   if (now.Steady >= state.NextQuarantineShare) {
     state.NextQuarantineShare = now.Steady + QuarantineSharePeriod;
     retry::prune(state.PartQuarantine, now);
+    retry::prune(state.Quarantine, now);
     message::PartEvidence evidence = retry::evidenceOfQuarantines(state.PartQuarantine, now);
     if (!retry::isEmpty(evidence))
       out.push_back(Gossip{std::move(evidence)});
