platform, relay: a deadline near 2^63 ms does not overflow

Deadline-Ms was added to the time of arrival unchecked. A value above some 9.2e15 ms overflows when it is converted to microseconds: became -1 ms, the backend server was told Deadline-Ms: 1, and the request counted as overdue. Numbers that do not fit into 64 bits are ignored as before, like other text that is no number.

--- a/packages/relay/Relay.cpp
+++ b/packages/relay/Relay.cpp
@@ -239,7 +239,7 @@
     request.Cost = requestCost(info, *workspace);
   }
   request.Arrived = arrived;
-  request.Deadline = arrived + info.Deadline.value_or(route->Timeout);
+  request.Deadline = arrived + std::min(info.Deadline.value_or(route->Timeout), MaxDeadline);
   request.GiveUp = std::min(request.Deadline, arrived + route->Timeout);
   request.Info = std::move(info);
   admitRequest(ctx, std::move(request), workspace);
--- a/packages/relay/RelayTest.cpp
+++ b/packages/relay/RelayTest.cpp
@@ -56,6 +56,20 @@
   BOOST_TEST(f.all<ForwardAnswer>().size() == 1U);
 }
 
+// Guards against a deadline that overflows when it is added to the time of arrival, so that the
+// request is given up at once.
+BOOST_AUTO_TEST_CASE(LongestDeadlineIsServed) {
+  Fixture f;
+  RequestInfo info{.Host = "h:80", .Path = "/safe/x", .Key = "key"};
+  info.Deadline = std::chrono::milliseconds::max();
+  onRequest(f.S, 1, info, f.Time.Steady, f.Out, f.Time, f.Rng);
+  BOOST_TEST(f.call().Remaining.count() == MaxDeadline.count());
+  f.wait(2900ms);
+  BOOST_TEST(f.all<Refuse>().empty());
+  f.answer(f.call().Call, 200);
+  BOOST_TEST(f.all<ForwardAnswer>().size() == 1U);
+}
+
 // Guards against new work for a server that says in an answer that it is leaving, while the list
 // does not show it, and against peers that do not learn of it.
 BOOST_AUTO_TEST_CASE(ServerThatSaysItLeavesGetsNothingNew) {
--- a/packages/relay/RequestInfo.h
+++ b/packages/relay/RequestInfo.h
@@ -21,6 +21,10 @@
 /// Hashes of the parts of a prompt that other requests may have, that is all but the last.
 std::vector<std::uint64_t> sharedParts(std::span<const PromptPart> prompt);
 
+/// Longest time that a caller is taken to wait for an answer. A time near 2^63 ms, added to the time
+/// of arrival, would overflow.
+inline constexpr std::chrono::milliseconds MaxDeadline = std::chrono::hours(24);
+
 /// Properties of one request.
 struct RequestInfo {
   /// The caller's id of this attempt; may be empty.
@@ -30,7 +34,7 @@
   std::string Path;
   /// Secret of the workspace; may be empty.
   std::string Key;
-  /// How long the caller waits for the answer; empty if it did not say.
+  /// How long the caller waits for the answer, at most MaxDeadline; empty if it did not say.
   std::optional<std::chrono::milliseconds> Deadline;
   std::string Model;
   std::uint32_t PromptTokens = 0;
