node, record: a call that reads does not wait for ever, so that a planned stop completes

Cause: a call that reads its answer from another node had no limit while that node was alive. It never got an end if its own node had been taken for dead for a while (onMemberDead drops its readers), if it read from a standby (the owner's copy of the end is not passed to readers there), if the record ran for ever because its executor was gone, or if the end was lost with its connection. Such a call keeps isDrained false.

Change: a call that has received nothing for 3 s fetches again from the present holder; a holder that is asked for a running record without progress for 5 s checks the executor, by a takeover if it is dead and by the same grant again if it is alive.

The driver gains stalled links and planned stops.

--- a/packages/node/Call.h
+++ b/packages/node/Call.h
@@ -59,6 +59,8 @@
   bool MayHaveRun = false;
   ResultCode RefuseCode = ResultCode::Ok;
   std::chrono::milliseconds RetryAfter{0};
+  /// While reading: when the call last received a part of the answer or fetched.
+  TimePoint LastFetch{};
   /// When the current step is abandoned, and when it is repeated.
   TimePoint Deadline{};
   TimePoint NextTry{};
--- a/packages/node/Context.h
+++ b/packages/node/Context.h
@@ -124,6 +124,8 @@
 /// Reads the answer of a call from `source`, or from the holder of the record if `source` is not
 /// set.
 void startReading(Context &ctx, Call &call, const NodeId &source);
+/// Continues a call that reads: fetches again after a silence, gives up at the deadline.
+void tickReading(Context &ctx, Call &call);
 void onChunk(Context &ctx, const NodeId &from, const message::Chunk &chunk);
 void onEnd(Context &ctx, const NodeId &from, const message::End &end);
 
--- a/packages/node/Gateway.cpp
+++ b/packages/node/Gateway.cpp
@@ -407,16 +407,7 @@
     tickClosing(ctx, call);
     return;
   case CallMode::Reading:
-    if (call.Reader != 0 && isAlive(ctx.S, call.Source))
-      return;
-    if (ctx.Time.Steady >= call.Deadline) {
-      refuseCall(ctx, call,
-                 call.RefuseCode == ResultCode::Ok ? ResultCode::OwnerUnreachable
-                                                   : call.RefuseCode);
-      return;
-    }
-    if (ctx.Time.Steady >= call.NextTry)
-      startReading(ctx, call, {});
+    tickReading(ctx, call);
     return;
   case CallMode::Executing:
     return;
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -3,6 +3,7 @@
 #include "node/Context.h"
 #include "record/Owner.h"
 #include "record/Retention.h"
+#include "record/Shards.h"
 #include "record/Standby.h"
 
 namespace chervil::node {
@@ -73,6 +74,11 @@
   }
   void operator()(const message::CloseReply &m) const { onCloseReply(Ctx, From, m); }
   void operator()(const message::Fetch &m) const {
+    if (!m.Cancel)
+      applyRecordEffects(Ctx,
+                         record::checkExecutor(
+                             Ctx.S.Records, m.Key,
+                             [this](const NodeId &id) { return isAlive(Ctx.S, id); }, Ctx.Time));
     applyRecordEffects(Ctx, record::onFetch(Ctx.S.Records, From, m, Ctx.Time));
   }
   void operator()(const message::Chunk &m) const { onChunk(Ctx, From, m); }
--- a/packages/node/NodeTest.cpp
+++ b/packages/node/NodeTest.cpp
@@ -368,9 +368,9 @@
 };
 
 std::ostream &operator<<(std::ostream &out, const Fault &it) {
-  constexpr std::array names = {"crash",     "restart",        "pause",
-                                "reclaim",   "crash back end", "restore back end",
-                                "kv outage", "lose kv answer", "isolate"};
+  constexpr std::array names = {
+      "crash",     "restart",        "pause",   "reclaim", "crash back end", "restore back end",
+      "kv outage", "lose kv answer", "isolate", "stall"};
   return out << names.at(it.Kind) << " " << it.Target << " at " << it.At << " ms for " << it.Length
              << " ms";
 }
@@ -403,8 +403,11 @@
   case 7:
     driver.loseNextAnswer();
     return;
-  default:
+  case 8:
     driver.isolate(node, length);
+    return;
+  default:
+    driver.stall(node, length);
   }
 }
 
@@ -450,6 +453,53 @@
   BOOST_TEST(ok);
 }
 
+// Guards against a planned stop that does not complete because a call stays open for ever: its node
+// was taken for dead for a while and is no longer known as reader, the end came by the copy of a
+// standby, or the executor of the record is gone.
+BOOST_AUTO_TEST_CASE(PlannedStopCompletesAfterFaults) {
+  constexpr std::array kinds = {0U, 0U, 2U, 4U, 6U, 7U, 9U, 9U};
+  for (unsigned seed = 1; seed <= 40; ++seed) {
+    Random rng(seed);
+    const auto draw = [&](unsigned n) { return static_cast<unsigned>(rng() % n); };
+    DriverOptions options = smallFleet();
+    options.Nodes = 7;
+    options.DataCentres = 4;
+    options.CallerPatience = seed % 2 == 0 ? 10s : 0s;
+    options.ServiceTime = std::chrono::milliseconds(draw(3000));
+    NodeDriver driver(options, seed);
+    driver.runFor(14s);
+    std::vector<Fault> faults(2 + draw(8));
+    for (Fault &it : faults)
+      it = {kinds.at(draw(kinds.size())), draw(7), draw(180) * 100, 500 + draw(11'000)};
+    for (unsigned ms = 0; ms < 30'000; ms += 100) {
+      for (const Fault &it : faults)
+        if (it.At == ms)
+          inject(driver, it, options.Nodes, options.Backends);
+      for (unsigned i = 0; i < options.Nodes && ms % 3000 == 0; ++i) {
+        driver.restart(i);
+        driver.restoreBackend(i % options.Backends);
+      }
+      if (ms < 18'000) {
+        driver.call({driver.freshKey(), false, 1, draw(7)});
+        driver.call({"m" + std::to_string(ms), true, 20 + draw(300), draw(7)});
+      }
+      driver.runFor(100ms);
+    }
+    driver.runFor(30s);
+    for (unsigned i = 0; i < options.Nodes; ++i) {
+      driver.leave(i, 600s);
+      driver.runFor(12s);
+      BOOST_TEST(driver.hasStopped(i), "seed " << seed << ", node " << i << ": calls "
+                                               << driver.state(i).Calls.size() << ", executions "
+                                               << driver.state(i).Executions.size());
+      driver.crash(i);
+      driver.restart(i);
+      driver.runFor(8s);
+    }
+    checkNoFaults(driver.report());
+  }
+}
+
 // Guards against a second execution of a key during a network partition: each group of nodes may
 // consider the other dead, while both serve callers. Service calls are slow and callers repeat a
 // key through other nodes, so that both groups handle the same key.
--- a/packages/node/Options.h
+++ b/packages/node/Options.h
@@ -18,6 +18,9 @@
   std::chrono::milliseconds ReplyTimeout{800};
   /// Delay before a Submit or a Fetch is repeated.
   std::chrono::milliseconds RepeatDelay{100};
+  /// A reader that has received nothing for this long fetches again from the present holder,
+  /// because the former one may have forgotten it.
+  std::chrono::milliseconds RefetchPeriod{3000};
   /// How long a reader looks for a record whose owner is changing.
   std::chrono::milliseconds FetchTimeout{8000};
   /// Maximum time, and maximum number of bytes, after which an executor reports progress.
--- a/packages/node/Reading.cpp
+++ b/packages/node/Reading.cpp
@@ -41,10 +41,31 @@
       to = holder->Node;
   call.Reader = ctx.S.NextReader++;
   call.Source = to;
+  call.LastFetch = ctx.Time.Steady;
   ctx.S.Readers.emplace(call.Reader, call.Handle);
   sendTo(ctx, to, message::Fetch{call.Key, call.Offset, call.Reader, false});
 }
 
+void tickReading(Context &ctx, Call &call) {
+  const TimePoint now = ctx.Time.Steady;
+  if (call.Reader != 0 && isAlive(ctx.S, call.Source)) {
+    if (now - call.LastFetch < ctx.S.Settings.RefetchPeriod)
+      return;
+    // The source may not know the reader any more: it drops the readers of a node that it took for
+    // dead, and the message with the end may be lost.
+    incrementCounter(ctx, "retry", "silent_reader");
+    sendTo(ctx, call.Source, message::Fetch{call.Key, call.Offset, call.Reader, true});
+    call.Deadline = now + ctx.S.Settings.FetchTimeout;
+    startReading(ctx, call, {});
+    return;
+  }
+  if (now >= call.Deadline)
+    refuseCall(ctx, call,
+               call.RefuseCode == ResultCode::Ok ? ResultCode::OwnerUnreachable : call.RefuseCode);
+  else if (now >= call.NextTry)
+    startReading(ctx, call, {});
+}
+
 void onChunk(Context &ctx, const NodeId &from, const message::Chunk &chunk) {
   Call *call = callOfReader(ctx, from, chunk.Reader);
   if (call == nullptr)
@@ -56,6 +77,7 @@
     return;
   }
   call->Deadline = ctx.Time.Steady + ctx.S.Settings.FetchTimeout;
+  call->LastFetch = ctx.Time.Steady;
   deliver(ctx, *call, chunk.Offset, chunk.Bytes);
 }
 
--- a/packages/record/Options.h
+++ b/packages/record/Options.h
@@ -14,6 +14,9 @@
   std::chrono::milliseconds ClockMargin{2000};
   /// How long the owner waits for the standby to acknowledge a record.
   std::chrono::milliseconds MarkTimeout{500};
+  /// A running record without progress for this long is checked with its executor when it is
+  /// fetched.
+  std::chrono::milliseconds ExecutorSilence{5000};
   /// A table transfer that makes no progress for this long is restarted.
   std::chrono::milliseconds TransferTimeout{1000};
   /// Total size of the finished answers that are kept for replay, in bytes.
--- a/packages/record/Owner.cpp
+++ b/packages/record/Owner.cpp
@@ -7,6 +7,7 @@
 
 namespace chervil::record {
 
+using detail::grant;
 using detail::send;
 using message::RecordState;
 using message::SubmitDecision;
@@ -36,18 +37,6 @@
   send(effects, to, reply);
 }
 
-/// Grants the execution to the executor of the record. `where` tells which copies exist.
-void grant(Effects &effects, Record &record, message::CopyPlacement where) {
-  record.Granted = true;
-  SubmitReply reply;
-  reply.Key = record.Data.Key;
-  reply.Attempt = record.Data.Attempt;
-  reply.Decision = SubmitDecision::Granted;
-  reply.Run = record.Data.Run;
-  reply.Placement = where;
-  send(effects, record.Data.Executor, reply);
-}
-
 /// Keeps the longer answer of two copies of the same run.
 void mergeAnswer(Record &record, const message::RecordCopy &copy) {
   if (copy.Answer.size() <= record.Data.Answer.size())
--- a/packages/record/RecordTest.cpp
+++ b/packages/record/RecordTest.cpp
@@ -202,6 +202,31 @@
   BOOST_TEST(Owner.Records.at({"acme", "k"}).Data.Answer == "abcd");
 }
 
+// Guards against a record that runs for ever because it arrived after the death of its executor,
+// and against a takeover from an executor that merely has nothing to report yet.
+BOOST_FIXTURE_TEST_CASE(SilentRecordOfADeadExecutorIsTakenOver, OwnerAndStandby) {
+  const RequestKey key{"acme", "k"};
+  const auto isDead = [](const NodeId &) { return false; };
+  onSubmit(Owner, GatewayId, makeSubmit("k", true), at(0));
+  BOOST_TEST(checkExecutor(Owner, key, isDead, at(4999)).Takeovers.empty());
+  BOOST_TEST(checkExecutor(Owner, key, isDead, at(5000)).Takeovers.size() == 1U);
+  BOOST_TEST((Owner.Records.at(key).Data.Executor == OwnerId));
+}
+
+// Guards against a record that runs for ever because its executor never got the grant, or lost it
+// with its caller.
+BOOST_FIXTURE_TEST_CASE(SilentExecutorGetsTheGrantAgain, OwnerAndStandby) {
+  const auto isAlive = [](const NodeId &) { return true; };
+  deliverMark(onSubmit(Owner, GatewayId, makeSubmit("k", false), at(0)), 1);
+  BOOST_TEST(checkExecutor(Owner, {"acme", "k"}, isAlive, at(4999)).Messages.empty());
+  const Effects silent = checkExecutor(Owner, {"acme", "k"}, isAlive, at(5000));
+  BOOST_TEST(silent.Takeovers.empty());
+  const auto again = findMessage<message::SubmitReply>(silent, GatewayId);
+  BOOST_REQUIRE(again.has_value());
+  BOOST_TEST((again->Decision == SubmitDecision::Granted));
+  BOOST_TEST(again->Run == 1U);
+}
+
 // Guards against a second run of a non-repeatable request after its executor died.
 BOOST_FIXTURE_TEST_CASE(DeadExecutorOfANonRepeatableCallMeansUnknown, OwnerAndStandby) {
   deliverMark(onSubmit(Owner, GatewayId, makeSubmit("k", false), at(0)), 1);
--- a/packages/record/Replication.cpp
+++ b/packages/record/Replication.cpp
@@ -50,6 +50,17 @@
   state.PendingReplies.emplace(seq, std::move(pending));
 }
 
+void grant(Effects &effects, Record &record, message::CopyPlacement where) {
+  record.Granted = true;
+  message::SubmitReply reply;
+  reply.Key = record.Data.Key;
+  reply.Attempt = record.Data.Attempt;
+  reply.Decision = message::SubmitDecision::Granted;
+  reply.Run = record.Data.Run;
+  reply.Placement = where;
+  send(effects, record.Data.Executor, reply);
+}
+
 bool requiresAck(const ShardView &shard) { return shard.Ready && isSet(shard.Standby); }
 
 bool mayBePromoted(const State &state, std::uint32_t shard) {
--- a/packages/record/Replication.h
+++ b/packages/record/Replication.h
@@ -41,6 +41,9 @@
 /// attempt must not be reported as "not_run".
 bool isClosing(const State &state, const RequestKey &key);
 
+/// Grants the execution to the executor of the record. `where` tells which copies exist.
+void grant(Effects &effects, Record &record, message::CopyPlacement where);
+
 /// Tells all readers that the answer has ended, and removes them.
 void notifyReadersOfEnd(Record &record, ResultCode code, Effects &effects);
 
--- a/packages/record/Shards.cpp
+++ b/packages/record/Shards.cpp
@@ -85,6 +85,22 @@
   return effects;
 }
 
+Effects checkExecutor(State &state, const RequestKey &key, const IsAlive &alive, const Now &now) {
+  Effects effects;
+  const auto it = state.Records.find(key);
+  if (it == state.Records.end())
+    return effects;
+  Record &record = it->second;
+  if (record.Data.State != RecordState::Running || !isResponsibleFor(state, record) ||
+      now.Steady - record.Changed < state.Settings.ExecutorSilence)
+    return effects;
+  if (!alive(record.Data.Executor))
+    resolveOrphan(state, record, now, effects);
+  else if (record.Granted)
+    detail::grant(effects, record, message::CopyPlacement::Owner);
+  return effects;
+}
+
 Effects onMemberDead(State &state, const NodeId &dead, const Now &now) {
   Effects effects;
   for (auto &[key, record] : state.Records) {
--- a/packages/record/Shards.h
+++ b/packages/record/Shards.h
@@ -15,6 +15,12 @@
 /// the outcome of the non-repeatable ones becomes unknown.
 Effects onMemberDead(State &state, const NodeId &dead, const Now &now);
 
+/// Checks the executor of a running record that has made no progress for ExecutorSilence: the
+/// record may have arrived after the death of its executor, or the executor may have lost the
+/// grant. A dead executor is handled as in onMemberDead(). A live one gets the grant again; it
+/// declines the grant if no caller waits and it does not run the request.
+Effects checkExecutor(State &state, const RequestKey &key, const IsAlive &alive, const Now &now);
+
 } // namespace chervil::record
 
 #endif
--- a/packages/relay/RequestInfo.h
+++ b/packages/relay/RequestInfo.h
@@ -21,8 +21,8 @@
 /// Hashes of the parts of a prompt that other requests may have, that is all but the last.
 std::vector<std::uint64_t> sharedParts(std::span<const PromptPart> prompt);
 
-/// Longest time that a caller is taken to wait for an answer. A time near 2^63 ms, added to the time
-/// of arrival, would overflow.
+/// Longest time that a caller is taken to wait for an answer. A time near 2^63 ms, added to the
+/// time of arrival, would overflow.
 inline constexpr std::chrono::milliseconds MaxDeadline = std::chrono::hours(24);
 
 /// Properties of one request.
--- a/packages/testing/NodeDriver.cpp
+++ b/packages/testing/NodeDriver.cpp
@@ -61,6 +61,7 @@
   slot.PausedUntil = {};
   slot.CrashAt = TimePoint::max();
   slot.BelievesDuty = false;
+  slot.Stopped = false;
   message::MemberUpdate self;
   const auto started = static_cast<std::uint64_t>(now().Wall.time_since_epoch().count());
   slot.Incarnation = std::max(slot.Incarnation + 1, started);
@@ -137,6 +138,8 @@
     writeMap(node, *write);
   else if (const auto *bytes = std::get_if<node::Bytes>(&effect))
     onBytes(node, *bytes);
+  else if (std::holds_alternative<node::Stopped>(effect))
+    Slots[node].Stopped = true;
   else if (const auto *refuse = std::get_if<node::Refuse>(&effect))
     onRefuse(node, *refuse);
   else if (const auto *violation = std::get_if<node::InvariantViolation>(&effect))
@@ -168,8 +171,12 @@
     if (Clock < Slots[i].IsolatedUntil || Clock < Slots[from].IsolatedUntil || isCut(from, i) ||
         percent(Rng) < Options.LossPercent)
       return;
-    post(i, node::PeerMessage{Slots[from].State->Self, addressOf(from), send.Body},
-         std::chrono::milliseconds(delay(Rng)));
+    auto after = std::chrono::milliseconds(delay(Rng));
+    // The connections of a stalled link go on one after the other, in any order.
+    if (Clock < Slots[i].StalledUntil)
+      after = std::chrono::ceil<std::chrono::milliseconds>(Slots[i].StalledUntil - Clock) +
+              std::chrono::milliseconds((from * 7 + i * 3) % Slots.size());
+    post(i, node::PeerMessage{Slots[from].State->Self, addressOf(from), send.Body}, after);
   }
 }
 
@@ -535,6 +542,15 @@
 
 void NodeDriver::outage(std::chrono::milliseconds time) { OutageUntil = Clock + time; }
 
+void NodeDriver::stall(std::size_t node, std::chrono::milliseconds time) {
+  Slots[node].StalledUntil = std::max(Slots[node].StalledUntil, Clock + time);
+}
+
+void NodeDriver::leave(std::size_t node, std::chrono::milliseconds within) {
+  if (Slots[node].Up)
+    post(node, node::Leave{now().Wall + within}, 1ms);
+}
+
 void NodeDriver::isolate(std::size_t node, std::chrono::milliseconds time) {
   Slots[node].IsolatedUntil = Clock + time;
 }
--- a/packages/testing/NodeDriver.h
+++ b/packages/testing/NodeDriver.h
@@ -101,6 +101,12 @@
   void outage(std::chrono::milliseconds time);
   /// The next write of the key-value service takes effect, but its answer is lost.
   void loseNextAnswer() { ++LostAnswers; }
+  /// Delays the messages to the node until the time is over. Those of one sender keep their order.
+  void stall(std::size_t node, std::chrono::milliseconds time);
+  /// Tells the node to stop within the time, as SIGTERM does; its process goes on.
+  void leave(std::size_t node, std::chrono::milliseconds within);
+  /// True once the node has reported that nothing is left to do.
+  bool hasStopped(std::size_t node) const { return Slots[node].Stopped; }
   /// Drops all messages between the node and the others.
   void isolate(std::size_t node, std::chrono::milliseconds time);
   /// Drops all messages between two groups of nodes. Callers and back ends reach both.
@@ -127,6 +133,8 @@
     bool Up = false;
     TimePoint PausedUntil{};
     TimePoint IsolatedUntil{};
+    TimePoint StalledUntil{};
+    bool Stopped = false;
     TimePoint CrashAt = TimePoint::max();
     TimePoint CrashedAt{};
     std::uint64_t Incarnation = 0;
