http: a half-closed client is taken for gone; test and design line

A client that shuts down only its sending side loses its answer (RFC 9112, section 9.6 expects it to be answered). The behaviour stays. close() sends the same FIN, and the state of the socket is the same; only a write shows the difference, and before the answer there is nothing to write. Considered: - wait for the answer: the backend server works in vain for a client that is gone, up to the time-out of the route instead of at most half a second; - an interim response (1xx) as a probe: a client that is gone resets the connection within a round trip. It changes what every half-closed client receives, is not allowed for HTTP/1.0, cannot be sent once a stream has begun, and a proxy in between answers for the client; - keep the connection for part of the half second: short answers would arrive, long ones not, and each cancellation would come later. Test: HalfClosedCallerIsTakenForGone, for a waiting request and for a stream (passes on the code as it is); http_test passes. Server.cpp is not changed.

--- a/packages/http/ServerTest.cpp
+++ b/packages/http/ServerTest.cpp
@@ -52,6 +52,25 @@
   respond(*f.It, f.Requests[0].Id, {.Body = "late"});
 }
 
+// Guards against a server that works in vain: a caller that shuts down its sending side cannot be
+// told from one that closed, and is treated as gone, also while a stream is written to it.
+BOOST_AUTO_TEST_CASE(HalfClosedCallerIsTakenForGone) {
+  for (const bool streaming : {false, true}) {
+    Fixture f;
+    const int fd = connectPlain(port(*f.It));
+    sendText(fd, Get);
+    BOOST_TEST(f.runUntil([&] { return f.Requests.size() == 1; }));
+    if (streaming) {
+      beginStream(*f.It, f.Requests[0].Id, {.Body = "part"});
+      BOOST_TEST(f.receives(fd, "part"));
+    }
+    shutdown(fd, SHUT_WR);
+    BOOST_TEST(f.runUntil([&] { return f.Gone.size() == 1; }, 500ms));
+    BOOST_TEST(f.runUntil([&] { return isClosed(fd); }));
+    close(fd);
+  }
+}
+
 // Guards against answers in the wrong order, or lost, when requests are sent ahead of answers.
 BOOST_AUTO_TEST_CASE(PipelinedRequestsAreAnsweredInOrder) {
   Fixture f;
