--- a/packages/http/Reader.cpp
+++ b/packages/http/Reader.cpp
@@ -158,9 +158,11 @@
 std::size_t feed(RequestReader &reader, std::string_view bytes) {
   const bool hadHead = reader.State != ReadState::Head;
   const std::size_t used = detail::feedParser(reader, bytes);
-  if (!hadHead)
+  if (reader.State == ReadState::Head)
     return used;
-  reader.BodyWireBytes += used;
+  constexpr std::string_view endOfHead = "\r\n\r\n";
+  const std::size_t head = hadHead ? 0 : std::min(used, bytes.find(endOfHead) + endOfHead.size());
+  reader.BodyWireBytes += used - head;
   // The parser takes a line that begins a chunk, or the trailers, only when they are complete.
   const bool tooLong =
       reader.State == ReadState::Body && bytes.size() - used > reader.Limits.HeaderBytes;
--- a/packages/http/ReaderTest.cpp
+++ b/packages/http/ReaderTest.cpp
@@ -180,6 +180,16 @@
   }
 }
 
+// Guards against framing that is bounded only if it comes after the head in a read of its own.
+BOOST_AUTO_TEST_CASE(FramingIsBoundedInOnePieceToo) {
+  std::string text = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (int i = 0; i < 3; ++i)
+    text += "1;" + std::string(900, 'x') + "\r\nb\r\n";
+  const auto reader = readAll(text + "0\r\n\r\n", {.HeaderBytes = 1000, .BodyBytes = 100});
+  BOOST_TEST((reader.State == ReadState::Failed));
+  BOOST_TEST(reader.ErrorStatus == 431);
+}
+
 // Guards against a legal body that is refused for its framing: chunks of one byte.
 BOOST_AUTO_TEST_CASE(SingleByteChunksAreRead) {
   std::string text = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
