relay: log the figures of the choice of a late request

An operator could not tell whether a late request met a server that was full, slow, or described by old reports. Lines about requests whose first byte came after the target of their route now have the estimates of the choice. relay_test passes.

--- a/packages/relay/detail/Outcome.cpp
+++ b/packages/relay/detail/Outcome.cpp
@@ -2,6 +2,8 @@
 
 #include "relay/detail/Dispatch.h"
 
+#include <array>
+#include <charconv>
 #include <utility>
 
 namespace chervil::relay::detail {
@@ -30,6 +32,31 @@
   removeRequest(ctx, request);
 }
 
+std::string formatFixed(double value, int digits) {
+  std::array<char, 32> text{};
+  const auto end =
+      std::to_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed, digits)
+          .ptr;
+  return {text.data(), end};
+}
+
+/// Appends the estimates by which the server of a late request was chosen.
+void appendFigures(const ActiveRequest &request, LogFields &fields) {
+  const ChoiceFigures &it = request.Figures;
+  const bool isLate = request.FirstByte != TimePoint{} &&
+                      request.FirstByte - request.Arrived > request.Route->Target;
+  if (!isLate || it.Candidates == 0)
+    return;
+  fields.emplace_back("choice_wait_tokens", formatFixed(it.Wait, 0));
+  fields.emplace_back("choice_tokens_before", formatFixed(it.TokensBefore, 0));
+  fields.emplace_back("choice_certain", formatFixed(it.CertainPart, 2));
+  fields.emplace_back("choice_speed_factor", formatFixed(it.Speed.Factor, 2));
+  fields.emplace_back("choice_speed_error", formatFixed(it.Speed.Error, 2));
+  fields.emplace_back("choice_report_age_ms", formatMillis(it.ReportAge));
+  fields.emplace_back("choice_sent_since", formatFixed(it.SentSinceReports, 0));
+  fields.emplace_back("choice_candidates", std::to_string(it.Candidates));
+}
+
 } // namespace
 
 std::string formatMillis(Duration d) {
@@ -49,6 +76,7 @@
     fields.emplace_back("shared_tokens", std::to_string(sharedPrefixTokens(request.Info.Prompt)));
     fields.emplace_back("prompt_tokens", std::to_string(request.Info.PromptTokens));
   }
+  appendFigures(request, fields);
   fields.emplace_back("age_ms", formatMillis(ctx.Time.Steady - request.Arrived));
   fields.emplace_back("left_ms", formatMillis(request.Deadline - ctx.Time.Steady));
   fields.emplace_back("config", std::to_string(request.Configuration->Version));
