--- a/packages/daemon/edge/Edge.cpp
+++ b/packages/daemon/edge/Edge.cpp
@@ -10,6 +10,7 @@
 #include "platform/ConfigurationDocument.h"
 #include "settings/ParseNodeSettings.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <sstream>
@@ -210,6 +211,33 @@
   return !edge.IsLeaving && edge.Relay.Config != nullptr && !edge.Relay.Servers.Servers.empty();
 }
 
+namespace {
+
+/// Sets the range of the estimates over all servers that take requests.
+void setEstimates(Metrics &metrics, const relay::Backends &backends, const Now &now) {
+  double fastest = balance::MaxSpeedFactor;
+  double slowest = 1 / balance::MaxSpeedFactor;
+  double longest = 0;
+  for (const auto &[id, it] : backends.Servers) {
+    if (it.Leaving)
+      continue;
+    const double factor = relay::speedOf(backends, it, now).Factor;
+    fastest = std::min(fastest, factor);
+    slowest = std::max(slowest, factor);
+    longest = std::max(longest, relay::expectedWaitAt(backends, it, now));
+  }
+  setGauge(metrics, "backend_speed_factor_min", fastest);
+  setGauge(metrics, "backend_speed_factor_max", slowest);
+  setGauge(metrics, "backend_wait_tokens_max", longest);
+  setGauge(metrics, "load_report_age_seconds",
+           backends.Peers.Reports.empty()
+               ? 0
+               : std::chrono::duration<double>(relay::reportAge(backends.Peers, now)).count());
+  setGauge(metrics, "load_reports", static_cast<double>(backends.Peers.Reports.size()));
+}
+
+} // namespace
+
 std::string metricsText(Edge &edge) {
   Metrics &metrics = edge.Counters;
   const ProcessUsage usage = readProcessUsage();
@@ -219,6 +247,7 @@
   setGauge(metrics, "open_requests", static_cast<double>(edge.Requests.size()));
   setGauge(metrics, "live_nodes", static_cast<double>(edge.Relay.LiveNodes));
   setGauge(metrics, "backend_servers", static_cast<double>(edge.Relay.Servers.Servers.size()));
+  setEstimates(metrics, edge.Relay.Servers, net::readNow());
   setGauge(metrics, "holds_duty", edge.ActsAsHolder ? 1 : 0);
   const std::uint64_t version = edge.Relay.Config == nullptr ? 0 : edge.Relay.Config->Version;
   setGauge(metrics, "configuration_version", static_cast<double>(version));
