--- a/packages/http/ServerTest.cpp
+++ b/packages/http/ServerTest.cpp
@@ -228,6 +228,7 @@
   options.MaxConnectionsPerAddress = 2;
   Fixture f(options);
   std::vector<int> fds;
+  fds.reserve(4);
   for (int i = 0; i < 3; ++i)
     fds.push_back(connectPlain(port(*f.It)));
   BOOST_TEST(f.runUntil([&] { return isClosed(fds[2]); }));
