balance, relay: servers of equal speed are chosen as before

The choice by spare capacity is now used only where a tenth of the servers or more are slow by two standard errors.

--- a/packages/relay/Backends.cpp
+++ b/packages/relay/Backends.cpp
@@ -199,16 +199,27 @@
   const double own = criteria.Prompt.back().Tokens;
   const auto shared = static_cast<double>(sharedPrefixTokens(criteria.Prompt));
   const double preference = std::min(HolderPreferenceTokens, shared);
-  const balance::Outlook outlook = outlookOf(backends, criteria, now);
+  std::vector<balance::SpeedEstimate> speeds;
+  speeds.reserve(from.size());
+  for (const Backend *it : from)
+    speeds.push_back(estimateOf(*it, workOn(backends.Peers, it->Entry.Id), now));
+  // The lowest sum serves equal servers better: with them, the choice by spare capacity answered a
+  // tenth fewer requests on a day of high load.
+  const bool isUneven = balance::isUneven(speeds);
+  const balance::Outlook outlook =
+      isUneven ? outlookOf(backends, criteria, now) : balance::Outlook{};
   const bool isLost = areReportsLost(backends, now);
   std::vector<balance::Candidate> candidates;
   std::vector<balance::ServerLoad> loads;
   candidates.reserve(from.size());
   loads.reserve(from.size());
-  for (const Backend *it : from) {
+  for (std::size_t i = 0; i < from.size(); ++i) {
+    const Backend *it = from[i];
     const PeerWork others = workOn(backends.Peers, it->Entry.Id);
-    balance::ServerLoad &load = loads.emplace_back(loadFor(backends, *it, others, isLost));
-    load.Speed = estimateOf(*it, others, now);
+    balance::ServerLoad &load =
+        loads.emplace_back(loadFor(backends, *it, others, isLost && isUneven));
+    if (isUneven)
+      load.Speed = speeds[i];
     const std::size_t rank = static_cast<std::size_t>(std::ranges::find(homes, it) - homes.begin());
     const double discount = balance::homeDiscount(rank, outlook);
     const bool isHolder = hasPrefix(it);
