--- a/packages/relay/RelayTest.cpp
+++ b/packages/relay/RelayTest.cpp
@@ -325,7 +325,7 @@
   const auto sendUntilProbe = [](Fixture &f) {
     for (int i = 0; i < 100 && f.all<CallBackend>().empty(); ++i)
       f.request("/unsafe/x");
-    const CallBackend it = f.call();
+    CallBackend it = f.call();
     f.Out.clear();
     return it;
   };
