relay, message, platform: version of servers, messages of rollouts

The daemon does not conduct rollouts yet. This adds what its parts share: the version of a server in its entry and in copies of the list, RolloutReport and RolloutGrant as messages, and the interface of relay/Rollouts.h with a first body. Options::Rollouts is false, so that nothing changes.

--- a/packages/message/BackendListCopy.h
+++ b/packages/message/BackendListCopy.h
@@ -33,6 +33,8 @@
   /// True if the sender's reading lacks the entry, which may return: the store is back after an
   /// outage.
   bool Missing = false;
+  /// Version of the server's software; empty if it states none.
+  std::string Version;
 };
 
 struct BackendListCopy {
--- a/packages/message/Message.h
+++ b/packages/message/Message.h
@@ -36,6 +36,8 @@
 #include "message/Progress.h"
 #include "message/ReplicateRecord.h"
 #include "message/ReplicateRecordReply.h"
+#include "message/RolloutGrant.h"
+#include "message/RolloutReport.h"
 #include "message/SendClaim.h"
 #include "message/SendGrant.h"
 #include "message/ShareGrant.h"
@@ -53,15 +55,14 @@
 namespace chervil::message {
 
 /// The index of an alternative is its type number on the wire. New types must be appended.
-using Message =
-    std::variant<Ping, PingRequest, Ack, DocUpdate, DocDigest, DocRequest, Submit, SubmitReply,
-                 ReplicateRecord, ReplicateRecordReply, Progress, Finish, FinishReply, Close,
-                 CloseReply, Fetch, Chunk, End, Handover, HandoverReply, StandbyReady, TableChunk,
-                 TableAck, DemandReport, ShareGrant, CrashReport, BackendStatus, EpochProbe,
-                 EpochConfirm, MemberExchange, TokenClaim, TokenGrant, UsageReport,
-                 BackendListRequest, BackendListCopy, BackendLoads, CachedPromptParts,
-                 BackendListDelta, DutyHolderAnnouncement, ConfigurationStatus, PartEvidence,
-                 BackendLimits, SendClaim, SendGrant, BackendDeparture>;
+using Message = std::variant<
+    Ping, PingRequest, Ack, DocUpdate, DocDigest, DocRequest, Submit, SubmitReply, ReplicateRecord,
+    ReplicateRecordReply, Progress, Finish, FinishReply, Close, CloseReply, Fetch, Chunk, End,
+    Handover, HandoverReply, StandbyReady, TableChunk, TableAck, DemandReport, ShareGrant,
+    CrashReport, BackendStatus, EpochProbe, EpochConfirm, MemberExchange, TokenClaim, TokenGrant,
+    UsageReport, BackendListRequest, BackendListCopy, BackendLoads, CachedPromptParts,
+    BackendListDelta, DutyHolderAnnouncement, ConfigurationStatus, PartEvidence, BackendLimits,
+    SendClaim, SendGrant, BackendDeparture, RolloutReport, RolloutGrant>;
 
 } // namespace chervil::message
 
--- a/packages/node/Node.cpp
+++ b/packages/node/Node.cpp
@@ -122,6 +122,8 @@
   void operator()(const message::SendClaim &) const {}
   void operator()(const message::SendGrant &) const {}
   void operator()(const message::DutyHolderAnnouncement &) const {}
+  void operator()(const message::RolloutReport &) const {}
+  void operator()(const message::RolloutGrant &) const {}
 };
 
 void onBackendNotice(Context &ctx, const BackendNotice &notice) {
--- a/packages/relay/BackendEntry.h
+++ b/packages/relay/BackendEntry.h
@@ -30,6 +30,9 @@
   /// Unix time of its start in ms; 0 if unknown. Distinguishes two starts under one id.
   std::uint64_t Born = 0;
 
+  /// Version of its software; empty if it states none.
+  std::string Version;
+
   /// A peer's reading lacks the entry, which may return: the store is back after an outage.
   bool Missing = false;
 
--- a/packages/relay/BackendListSync.cpp
+++ b/packages/relay/BackendListSync.cpp
@@ -16,6 +16,8 @@
   hash = hashBytes(it.Address, hash);
   hash = hashBytes(it.DataCentre, hash);
   hash = mixHashes(hash, it.Born);
+  if (!it.Version.empty())
+    hash = hashBytes(it.Version, hash);
   return mixHashes(hash, (std::uint64_t{it.Slots} << 3) | (it.Missing ? 4 : 0) |
                              (it.Draining ? 2 : 0) | (it.Reclaimable ? 1 : 0));
 }
@@ -32,7 +34,7 @@
     const BackendEntry &entry = it.Entry;
     out.push_back({entry.Id, entry.Service, entry.Address, entry.DataCentre, entry.Slots,
                    entry.Draining, entry.Reclaimable, entry.Leaves.value_or(0ms), entry.Born,
-                   it.MissingSince.has_value()});
+                   it.MissingSince.has_value(), entry.Version});
   }
   return out;
 }
@@ -99,6 +101,7 @@
     BackendEntry entry{it.Id,       it.Service,     it.Address,   it.DataCentre, it.Slots,
                        it.Draining, it.Reclaimable, std::nullopt, 0ms,           it.Born};
     entry.Missing = it.Missing;
+    entry.Version = it.Version;
     if (it.Leaves > 0ms)
       entry.Leaves = it.Leaves;
     out.push_back(std::move(entry));
--- a/packages/relay/Options.h
+++ b/packages/relay/Options.h
@@ -25,6 +25,8 @@
   /// Bound on the bytes of all answers that are being collected. Answers up to a small size are
   /// collected beyond it.
   std::uint64_t MaxCollectedBytes = std::uint64_t{48} << 20U;
+  /// Rollouts of versions are conducted; orders are ignored otherwise.
+  bool Rollouts = false;
 };
 
 } // namespace chervil::relay
--- a/packages/relay/Relay.h
+++ b/packages/relay/Relay.h
@@ -28,6 +28,7 @@
 #include "relay/Options.h"
 #include "relay/PrefillDemand.h"
 #include "relay/RetryShare.h"
+#include "relay/Rollouts.h"
 #include "retry/PartQuarantine.h"
 #include "retry/Quarantine.h"
 
@@ -68,6 +69,8 @@
   std::map<std::string, RetryShare> Retries;
   /// Prefill demand of this node, by service.
   std::map<std::string, PrefillDemand> PrefillDemands;
+  /// Rollouts of versions that this node has heard of, by service.
+  relay::Rollouts Rollouts;
   /// Contents whose servers crashed.
   retry::Quarantine Quarantine;
   /// Parts of prompts that crash servers, and when peers that may have missed them are told next.
--- a/packages/wire/detail/Fields.h
+++ b/packages/wire/detail/Fields.h
@@ -144,7 +144,7 @@
 }
 template <MaybeConst<message::BackendCopy> M> auto fields(M &m) {
   return std::tie(m.Id, m.Service, m.Address, m.DataCentre, m.Slots, m.Draining, m.Reclaimable,
-                  m.Leaves, m.Born, m.Missing);
+                  m.Leaves, m.Born, m.Missing, m.Version);
 }
 template <MaybeConst<message::BackendDeparture> M> auto fields(M &m) {
   return std::tie(m.Backend, m.Born, m.Kind, m.Source, m.Age, m.Era, m.Revision);
@@ -194,6 +194,19 @@
 template <MaybeConst<message::CachedPromptParts> M> auto fields(M &m) {
   return std::tie(m.Servers);
 }
+template <MaybeConst<message::RolloutCounts> M> auto fields(M &m) {
+  return std::tie(m.Route, m.Target, m.Answers, m.Failed, m.Slow);
+}
+template <MaybeConst<message::RolloutReport> M> auto fields(M &m) {
+  return std::tie(m.Service, m.Order, m.Node, m.Seq, m.Sent, m.Seen, m.OldOpen, m.Closed, m.Counts);
+}
+template <MaybeConst<message::RolloutRouteShare> M> auto fields(M &m) {
+  return std::tie(m.Route, m.Permille);
+}
+template <MaybeConst<message::RolloutGrant> M> auto fields(M &m) {
+  return std::tie(m.Service, m.Target, m.Order, m.Token, m.Seq, m.Units, m.Bounded, m.SharePermille,
+                  m.Routes, m.Servers, m.Closing, m.Ended);
+}
 
 /// A struct for which fields() is defined above.
 template <typename T>
