--- a/packages/ctl/load/LoadRun.cpp
+++ b/packages/ctl/load/LoadRun.cpp
@@ -21,7 +21,7 @@
 /// Granularity of open-loop arrivals; those due in one interval are sent together.
 constexpr Duration ArrivalInterval = 1ms;
 constexpr Duration EntryInterval = 100ms;
-/// Wrong answers that are logged; more would hide the first ones.
+/// Requests without a right answer that are logged; more would hide the first ones.
 constexpr std::uint64_t MaxLogged = 10;
 
 struct LoadRun {
@@ -131,7 +131,7 @@
     addValue(kind.Service ? run.Out.ShortCalls : run.Out.Model.Total, now - flight.Due);
   }
   if ((outcome == LoadOutcome::Wrong || outcome == LoadOutcome::Partial ||
-       outcome == LoadOutcome::Lost) &&
+       outcome == LoadOutcome::Lost || outcome == LoadOutcome::Unknown) &&
       run.Logged++ < MaxLogged)
     LOG(ERROR) << "load: key " << flight.Request.Key << " of kind " << kind.Name << " from "
                << flight.Address << ": " << toString(outcome) << ", " << flight.Text.size()
