record: a copy is not dropped while it may be the last one

The owner erased the record with a part of the answer and sent its readers away. It now takes the request over if there is a part of an answer or a reader. - An executor released a standby for which the owner had replicated the record again. The standby erased the owner's copy. It now keeps it and only sends its readers to the owner. - A node that kept a record in place of an unreachable owner lost its role in the shard, or received the owner's table. It erased the copy, which the owner may not have. Such copies (Record::Fallback) now stay until their executor releases them.

DeclinedGrantOfABegunAnswerIsTakenOver and StandbyKeepsTheOwnersCopyWhenItIsReleased fail without the change.

--- a/packages/record/Owner.cpp
+++ b/packages/record/Owner.cpp
@@ -52,6 +52,7 @@
   const auto &copy = submit.Record;
   const bool known = detail::findKeyState(state, copy.Key).Exists;
   Record &record = detail::findOrCreateRecord(state, copy.Key, now);
+  record.Fallback = submit.Fallback && (!known || record.Fallback);
   if (record.Data.State == RecordState::Finished ||
       (known && record.Data.State == RecordState::Running && record.Data.Run > copy.Run)) {
     attach(effects, from, record);
@@ -137,6 +138,7 @@
   record.Data.Run = run;
   record.Data.Executor = from;
   record.Granted = false;
+  record.Fallback = submit.Fallback;
   if (!record.Data.Spec.Repeatable)
     record.Data.Spec.Body.clear();
   return record;
@@ -385,6 +387,22 @@
     attach(effects, from, record);
     return effects;
   }
+  const Role role = state.Shards.empty() ? Role::None : state.Shards[record.Shard].LocalRole;
+  if (finish.Code == ResultCode::HandedOver && data.Spec.Repeatable && role == Role::Standby &&
+      !record.Fallback) {
+    // The owner has the record again. Its copy here stays for the case that the owner is lost.
+    send(effects, from, message::FinishReply{finish.Key, finish.Run});
+    detail::notifyReadersOfEnd(record, ResultCode::HandedOver, effects);
+    return effects;
+  }
+  if (finish.Code == ResultCode::HandedOver && data.Spec.Repeatable && role == Role::Owner &&
+      (!data.Answer.empty() || !record.Readers.empty())) {
+    // The executor declined a repeated grant, because it does not run the request any more. The
+    // record is all that is left of it, and callers wait for the rest of the answer.
+    send(effects, from, message::FinishReply{finish.Key, finish.Run});
+    detail::resolveOrphan(state, record, now, effects);
+    return effects;
+  }
   // Bytes are missing. Without a reply the executor registers again with the whole answer.
   if (finish.Code == ResultCode::Ok && finish.TotalSize != data.Answer.size())
     return effects;
@@ -426,6 +444,8 @@
     return effects;
   }
   Record &record = detail::findOrCreateRecord(state, copy.Key, now);
+  if (!known.Exists)
+    record.Fallback = state.Shards.empty() || state.Shards[record.Shard].LocalRole != Role::Owner;
   const std::size_t previousSize = record.Data.Answer.size();
   if (record.Data.Run != copy.Run || copy.Answer.size() >= previousSize)
     record.Data = copy;
--- a/packages/record/Record.h
+++ b/packages/record/Record.h
@@ -26,6 +26,9 @@
   bool ForwardProgress = false;
   /// The executor has been told that it may send the request to a back end.
   bool Granted = false;
+  /// Kept in place of an unreachable owner, which may know nothing of it. Such a copy stays when
+  /// this node loses its role in the shard, until its executor releases it.
+  bool Fallback = false;
   /// Last change, for expiry.
   TimePoint Changed{};
   std::vector<Reader> Readers;
--- a/packages/record/RecordTest.cpp
+++ b/packages/record/RecordTest.cpp
@@ -227,6 +227,56 @@
   BOOST_TEST(again->Run == 1U);
 }
 
+// Guards against a part of an answer, and the callers that wait for the rest, that are dropped
+// because the executor does not run the request any more.
+BOOST_FIXTURE_TEST_CASE(DeclinedGrantOfABegunAnswerIsTakenOver, OwnerAndStandby) {
+  const message::Finish declined{{"acme", "k"}, 1, ResultCode::HandedOver, 0, "", 0, 0};
+  for (const bool isBegun : {true, false}) {
+    for (const bool isRead : {true, false}) {
+      Owner.Records.clear();
+      onSubmit(Owner, GatewayId, makeSubmit("k", true), at(0));
+      if (isBegun)
+        onProgress(Owner, GatewayId, {{"acme", "k"}, 1, 0, "part", 1}, at(1));
+      if (isRead)
+        onFetch(Owner, OtherId, {{"acme", "k"}, 0, 9, false}, at(2));
+      const Effects effects = onFinish(Owner, GatewayId, declined, at(6000));
+      BOOST_TEST(findMessage<message::FinishReply>(effects, GatewayId).has_value());
+      BOOST_TEST(!findMessage<message::End>(effects, OtherId).has_value());
+      BOOST_TEST(effects.Takeovers.size() == (isBegun || isRead ? 1U : 0U));
+      if (isBegun && !effects.Takeovers.empty()) {
+        BOOST_TEST(effects.Takeovers[0].Answer == "part");
+        BOOST_TEST(effects.Takeovers[0].Run == 2U);
+      }
+      BOOST_TEST(Owner.Records.size() == effects.Takeovers.size());
+    }
+  }
+}
+
+// Guards against a standby that drops a record, which it kept for an unreachable owner, for the
+// table of that owner, and that drops the owner's copy when the executor has returned to the owner.
+BOOST_FIXTURE_TEST_CASE(StandbyKeepsTheOwnersCopyWhenItIsReleased, OwnerAndStandby) {
+  const message::Finish release{{"acme", "k"}, 1, ResultCode::HandedOver, 0, "", 0, 0};
+  message::Submit submit = makeSubmit("k", true);
+  submit.Fallback = true;
+  onSubmit(Standby, GatewayId, submit, at(0));
+  onFinish(Standby, GatewayId, release, at(1));
+  BOOST_TEST(Standby.Records.empty());
+  onSubmit(Standby, GatewayId, submit, at(2));
+  onTableChunk(Standby, OwnerId, {0, 1, 0, true, {}, {}}, at(2));
+  BOOST_TEST(Standby.Records.size() == 1U);
+  onFetch(Standby, OtherId, {{"acme", "k"}, 0, 9, false}, at(3));
+  submit.Fallback = false;
+  submit.Executing = true;
+  submit.DataCentre = Owner.DataCentre;
+  submit.Record.Run = 1;
+  deliverMark(onSubmit(Owner, GatewayId, submit, at(4)), 5);
+  const Effects effects = onFinish(Standby, GatewayId, release, at(6));
+  BOOST_TEST(Standby.Records.size() == 1U);
+  const auto end = findMessage<message::End>(effects, OtherId);
+  BOOST_REQUIRE(end.has_value());
+  BOOST_TEST((end->Code == ResultCode::HandedOver));
+}
+
 // Guards against a second run of a non-repeatable request after its executor died.
 BOOST_FIXTURE_TEST_CASE(DeadExecutorOfANonRepeatableCallMeansUnknown, OwnerAndStandby) {
   deliverMark(onSubmit(Owner, GatewayId, makeSubmit("k", false), at(0)), 1);
--- a/packages/record/Replication.h
+++ b/packages/record/Replication.h
@@ -47,6 +47,10 @@
 /// Tells all readers that the answer has ended, and removes them.
 void notifyReadersOfEnd(Record &record, ResultCode code, Effects &effects);
 
+/// Resolves a running record whose executor does not run it any more: a repeatable request is taken
+/// over by this node, the outcome of a non-repeatable one becomes unknown.
+void resolveOrphan(State &state, Record &record, const Now &now, Effects &effects);
+
 /// Sets a record to Finished and counts its answer towards the answer budget.
 void setFinished(State &state, Record &record);
 
--- a/packages/record/Shards.cpp
+++ b/packages/record/Shards.cpp
@@ -7,27 +7,29 @@
 
 using message::RecordState;
 
-namespace {
+namespace detail {
 
-/// Resolves a running record whose executor has died: a repeatable request is taken over by this
-/// node, the outcome of a non-repeatable one becomes unknown.
 void resolveOrphan(State &state, Record &record, const Now &now, Effects &effects) {
   auto &data = record.Data;
   record.Changed = now.Steady;
   if (!data.Spec.Repeatable) {
-    detail::setEnded(state, record, RecordState::Unknown);
-    detail::notifyReadersOfEnd(record, ResultCode::ExecutorLost, effects);
-    detail::replicate(state, record, effects);
+    setEnded(state, record, RecordState::Unknown);
+    notifyReadersOfEnd(record, ResultCode::ExecutorLost, effects);
+    replicate(state, record, effects);
     return;
   }
   ++data.Run;
   data.Executor = state.Self;
   record.Granted = true;
   record.ForwardProgress = true;
-  detail::replicate(state, record, effects);
+  replicate(state, record, effects);
   effects.Takeovers.push_back(data);
 }
 
+} // namespace detail
+
+namespace {
+
 /// Returns true if this node resolves the record: it owns the shard, or holds the record in place
 /// of an owner (no role, or no map yet).
 bool isResponsibleFor(const State &state, const Record &record) {
@@ -46,10 +48,14 @@
 /// Resolves the records of a newly owned shard whose executors have died.
 void takeOwnership(State &state, std::uint32_t shard, const IsAlive &alive, const Now &now,
                    Effects &effects) {
-  for (auto &[key, record] : state.Records)
-    if (record.Shard == shard && record.Data.State == RecordState::Running &&
-        record.Data.Executor != state.Self && !alive(record.Data.Executor))
-      resolveOrphan(state, record, now, effects);
+  for (auto &[key, record] : state.Records) {
+    if (record.Shard != shard)
+      continue;
+    record.Fallback = false;
+    if (record.Data.State == RecordState::Running && record.Data.Executor != state.Self &&
+        !alive(record.Data.Executor))
+      detail::resolveOrphan(state, record, now, effects);
+  }
 }
 
 } // namespace
@@ -95,7 +101,7 @@
       now.Steady - record.Changed < state.Settings.ExecutorSilence)
     return effects;
   if (!alive(record.Data.Executor))
-    resolveOrphan(state, record, now, effects);
+    detail::resolveOrphan(state, record, now, effects);
   else if (record.Granted)
     detail::grant(effects, record, message::CopyPlacement::Owner);
   return effects;
@@ -107,7 +113,7 @@
     std::erase_if(record.Readers, [&](const Reader &it) { return it.Node == dead; });
     if (record.Data.State == RecordState::Running && record.Data.Executor == dead &&
         isResponsibleFor(state, record))
-      resolveOrphan(state, record, now, effects);
+      detail::resolveOrphan(state, record, now, effects);
   }
   return effects;
 }
--- a/packages/record/Standby.cpp
+++ b/packages/record/Standby.cpp
@@ -39,6 +39,7 @@
     record.Data.Answer = std::move(answer);
   record.Shard = shard;
   record.Granted = true;
+  record.Fallback = false;
   if (copy.State == RecordState::Finished)
     detail::setFinished(state, record);
   if (copy.State == RecordState::Closed && copy.Attempt == 0)
@@ -100,7 +101,7 @@
 
 void discardShard(State &state, std::uint32_t shard) {
   for (auto it = state.Records.begin(); it != state.Records.end();) {
-    if (it->second.Shard != shard) {
+    if (it->second.Shard != shard || it->second.Fallback) {
       ++it;
       continue;
     }
--- a/packages/record/Standby.h
+++ b/packages/record/Standby.h
@@ -28,7 +28,8 @@
 namespace detail {
 /// Starts, or restarts, the transfer of a shard's table to its standby.
 void startTransfer(State &state, std::uint32_t shard, const Now &now, Effects &effects);
-/// Removes all records and marks of a shard and ends its transfer.
+/// Removes all records and marks of a shard, but for those kept in place of an unreachable owner,
+/// and ends its transfer.
 void discardShard(State &state, std::uint32_t shard);
 } // namespace detail
 
