node: a fallback copy is kept until the owner has the record

Cause: if the owner of a key does not answer, a repeatable request runs with a copy at another node. updateHolder() returned to the owner within 0.1 s, as long as the owner was not declared dead, and told the other node to drop its copy at once. While the owner's link is stalled, the executor then held the only copy, against docs/design.md 4.1 (two data centres). If the executor was lost too, fetches got request_not_found.

Change: former fallback holders are released when the present holder has confirmed the record, each with the run that it knows. The present run could differ; the former holder then answered with its earlier run, and the executor gave up its execution for a record that nobody ran. Such a word no longer ends a later run. The silent owner itself is not chosen as the fallback. A node that reads for a caller looks at the copy that it keeps as standby, which matters while no standby can be promoted.

Ruled out: a loss by Finish of a failed run (answered by its own code), and the transfer of tables.

Tests: FallbackCopyIsKeptUntilTheOwnerHasTheRecord, FormerHolderDoesNotEndALaterRun and LossOfADataCentreDuringAnOutageLosesNoStream fail without the change, each without its part.

--- a/packages/node/Context.cpp
+++ b/packages/node/Context.cpp
@@ -93,7 +93,8 @@
   if (shard != nullptr && isSet(shard->Standby) && shard->Standby != state.Self &&
       isStaying(state, shard->Standby))
     return Holder{shard->Standby, true};
-  return Holder{rendezvousNode(state, key, {}), true};
+  const auto isOwner = [&](const NodeId &id) { return shard != nullptr && shard->Owner == id; };
+  return Holder{rendezvousNode(state, key, isOwner), true};
 }
 
 } // namespace chervil::node::detail
--- a/packages/node/Context.h
+++ b/packages/node/Context.h
@@ -161,6 +161,9 @@
 void registerExecution(Context &ctx, Execution &execution);
 /// Registers the execution at the new holder if the holder of its record has changed.
 void updateHolder(Context &ctx, Execution &execution);
+/// Tells the former fallback holders that they need not keep the record any more. Called once the
+/// present holder has confirmed it.
+void releaseFormerHolders(Context &ctx, Execution &execution);
 
 // Leaving (Leaving.cpp).
 void onLeave(Context &ctx, const Leave &leave);
--- a/packages/node/Execute.cpp
+++ b/packages/node/Execute.cpp
@@ -266,6 +266,7 @@
   execution.PromptTokens = call.PromptTokens;
   execution.Holder = holder.Node;
   execution.Fallback = holder.Fallback;
+  execution.RegisteredRun = reply.Run;
   execution.Placement = reply.Placement;
   if (holder.Node == ctx.S.Self && holder.Fallback)
     execution.Placement = message::CopyPlacement::Local;
@@ -289,6 +290,7 @@
   execution.Holder = ctx.S.Self;
   const record::ShardView *shard = shardFor(ctx.S, key);
   execution.Fallback = shard == nullptr || shard->LocalRole != record::Role::Owner;
+  execution.RegisteredRun = execution.Record.Run;
   execution.Reported = execution.Record.Answer.size();
   execution.ChooseDeadline = ctx.Time.Steady + ctx.S.Settings.BackendWait;
   incrementCounter(ctx, "takeover", "executor_lost");
@@ -413,6 +415,7 @@
                            ctx.Time);
     endBackendCall(ctx, execution);
   }
+  releaseFormerHolders(ctx, execution);
   const std::vector<std::uint64_t> callers = std::move(execution.Callers);
   const RequestKey key = execution.Record.Key;
   ctx.S.Executions.erase(key);
@@ -432,6 +435,7 @@
   if (it == ctx.S.Executions.end() || it->second.Phase != ExecutionPhase::Finishing ||
       it->second.Holder != from || it->second.Record.Run != reply.Run)
     return;
+  releaseFormerHolders(ctx, it->second);
   ctx.S.Executions.erase(it);
 }
 
--- a/packages/node/Execution.h
+++ b/packages/node/Execution.h
@@ -27,6 +27,12 @@
   Closing,
 };
 
+/// A node that kept the record in place of an unreachable owner, and the run that it knows.
+struct FormerHolder {
+  NodeId Node;
+  std::uint32_t Run = 0;
+};
+
 /// State of one execution.
 struct Execution {
   /// Key, run, request and the answer so far.
@@ -66,6 +72,11 @@
   /// The node that keeps the record, and whether it does so as a fallback for the owner.
   NodeId Holder;
   bool Fallback = false;
+  /// Run under which the holder knows the execution.
+  std::uint32_t RegisteredRun = 0;
+  /// Former fallback holders. They keep their copies until the present holder has confirmed that it
+  /// has the record: an owner that does not answer may never receive it.
+  std::vector<FormerHolder> FormerHolders;
   message::CopyPlacement Placement = message::CopyPlacement::Owner;
   /// Number of bytes of the answer that have been sent to the holder, and when the next are sent.
   std::uint64_t Reported = 0;
--- a/packages/node/Gateway.cpp
+++ b/packages/node/Gateway.cpp
@@ -180,6 +180,8 @@
     Execution &execution = it->second;
     if (execution.Holder == from)
       execution.Placement = reply.Placement;
+    if (execution.Holder == from && execution.Record.Run == reply.Run)
+      releaseFormerHolders(ctx, execution);
     for (const std::uint64_t handle : waiting)
       attachCall(ctx, ctx.S.Calls.at(handle), execution);
     return;
@@ -204,7 +206,10 @@
 void onAttached(Context &ctx, const NodeId &from, const SubmitReply &reply,
                 const std::vector<std::uint64_t> &waiting) {
   const auto it = ctx.S.Executions.find(reply.Key);
-  if (it != ctx.S.Executions.end() && it->second.Record.Run != reply.Run)
+  // A node that kept the record for a while knows an earlier run only. Its word does not end a
+  // later one.
+  if (it != ctx.S.Executions.end() && it->second.Record.Run != reply.Run &&
+      (it->second.Holder == from || it->second.Record.Run < reply.Run))
     abandonExecution(ctx, it->second, from);
   for (const std::uint64_t handle : waiting) {
     Call &call = ctx.S.Calls.at(handle);
--- a/packages/node/NodeTest.cpp
+++ b/packages/node/NodeTest.cpp
@@ -1,7 +1,9 @@
 #include "testing/NodeDriver.h"
 
 #include <boost/test/unit_test.hpp>
+#include <map>
 #include <rapidcheck.h>
+#include <set>
 
 using namespace chervil;
 using namespace chervil::testing;
@@ -360,6 +362,113 @@
 
 namespace {
 
+/// Seven nodes in four data centres, all ready.
+NodeDriver wideFleet(std::uint64_t seed) {
+  DriverOptions options;
+  options.Nodes = 7;
+  options.DataCentres = 4;
+  NodeDriver driver(options, seed);
+  driver.runFor(14s);
+  return driver;
+}
+
+/// The shard of a key as node 0 sees it.
+const record::ShardView &shardOf(const NodeDriver &driver, const std::string &key) {
+  const record::State &records = driver.state(0).Records;
+  return records.Shards[record::shardOf(records, {"acme", key})];
+}
+
+std::size_t nodeOf(const NodeId &id) { return std::stoul(id.Name.substr(1)); }
+
+/// Up nodes other than those excluded that hold the record of the key.
+std::size_t copiesOutside(const NodeDriver &driver, const std::string &key,
+                          const std::set<std::size_t> &excluded) {
+  std::size_t n = 0;
+  for (std::size_t i = 0; i < 7; ++i)
+    if (driver.isUp(i) && !excluded.contains(i))
+      n += driver.state(i).Records.Records.contains({"acme", key}) ? 1 : 0;
+  return n;
+}
+
+} // namespace
+
+// Guards against a stream whose only copy is that of its executor: the node that kept the record
+// for an owner that did not answer was told to drop it before the owner had received it, or the
+// same owner was chosen to keep it.
+BOOST_AUTO_TEST_CASE(FallbackCopyIsKeptUntilTheOwnerHasTheRecord) {
+  constexpr std::size_t silent = 3;
+  NodeDriver driver = wideFleet(1);
+  driver.stall(silent, 5s);
+  // Keys of the silent owner, each called at the standby or at another node.
+  std::map<std::string, std::size_t> gateways;
+  for (std::size_t i = 0; gateways.size() < 40; ++i) {
+    const std::string key = "k" + std::to_string(i);
+    const record::ShardView &shard = shardOf(driver, key);
+    if (nodeOf(shard.Owner) == silent)
+      gateways[key] = gateways.size() % 2 == 0 ? nodeOf(shard.Standby) : 5;
+  }
+  for (const auto &[key, gateway] : gateways)
+    driver.call({key, true, 800, gateway});
+  driver.runFor(3s);
+  for (const auto &[key, gateway] : gateways)
+    BOOST_TEST(copiesOutside(driver, key, {silent, gateway}) > 0U, key << " at n" << gateway);
+  driver.runFor(20s);
+  // The copies are dropped once the owner has the record.
+  for (const auto &[key, gateway] : gateways) {
+    const record::ShardView &shard = shardOf(driver, key);
+    BOOST_TEST(copiesOutside(driver, key, {nodeOf(shard.Owner), nodeOf(shard.Standby)}) == 0U);
+  }
+  const Report report = driver.report();
+  BOOST_TEST(report.Whole == gateways.size());
+  checkNoFaults(report);
+}
+
+// Guards against an execution that is ended by the late word of a node that kept its record under
+// an earlier run. The record of the present run then has no executor.
+BOOST_AUTO_TEST_CASE(FormerHolderDoesNotEndALaterRun) {
+  NodeDriver driver = wideFleet(1);
+  driver.call({"k", true, 800, 5});
+  driver.runFor(1s);
+  const RequestKey key{"acme", "k"};
+  node::State state = driver.state(5);
+  BOOST_REQUIRE(state.Executions.contains(key));
+  node::Execution &execution = state.Executions.at(key);
+  const NodeId holder = execution.Holder;
+  const NodeId other = driver.state(holder.Name == "n0" ? 1 : 0).Self;
+  execution.Record.Run = 3;
+  const Now now{TimePoint(1015s), WallTime(1'764'000'000'000ms + 1015s)};
+  Random rng(1);
+  message::SubmitReply attached;
+  attached.Key = key;
+  attached.Decision = message::SubmitDecision::Attached;
+  attached.Run = 1;
+  node::handleEvent(state, node::PeerMessage{other, "", attached}, now, rng);
+  BOOST_TEST(state.Executions.contains(key));
+  attached.Run = 4;
+  node::handleEvent(state, node::PeerMessage{other, "", attached}, now, rng);
+  BOOST_TEST(!state.Executions.contains(key));
+}
+
+// Guards against streams that are not found although a copy outside the lost data centre is left:
+// during an outage of the key-value service no standby is promoted, and a standby that was asked by
+// a caller did not look at its own copy.
+BOOST_AUTO_TEST_CASE(LossOfADataCentreDuringAnOutageLosesNoStream) {
+  NodeDriver driver = wideFleet(1);
+  for (std::size_t i = 0; i < 80; ++i)
+    driver.call({"k" + std::to_string(i), true, 500, 4 * (i % 2)});
+  driver.runFor(1s);
+  driver.outage(30s);
+  driver.crash(0);
+  driver.crash(4);
+  driver.runFor(60s);
+  const Report report = driver.report();
+  BOOST_TEST(report.NotFound == 0U);
+  BOOST_TEST(report.Whole == 80U);
+  checkNoFaults(report);
+}
+
+namespace {
+
 struct Fault {
   unsigned Kind;
   unsigned Target;
--- a/packages/node/Reading.cpp
+++ b/packages/node/Reading.cpp
@@ -37,8 +37,12 @@
   }
   NodeId to = source;
   if (!isSet(to))
-    if (const auto holder = holderFor(ctx.S, call.Key, true, false))
-      to = holder->Node;
+    if (const auto holder = holderFor(ctx.S, call.Key, true, false)) {
+      // holderFor() names another node than this one for a second copy. For reading, a copy that
+      // this node keeps in place of the owner is as good.
+      const bool isCopyHere = holder->Fallback && ctx.S.Records.Records.contains(call.Key);
+      to = isCopyHere ? ctx.S.Self : holder->Node;
+    }
   call.Reader = ctx.S.NextReader++;
   call.Source = to;
   call.LastFetch = ctx.Time.Steady;
--- a/packages/node/Report.cpp
+++ b/packages/node/Report.cpp
@@ -1,5 +1,7 @@
 #include "node/Context.h"
 
+#include <utility>
+
 namespace chervil::node::detail {
 
 void reportProgress(Context &ctx, Execution &execution) {
@@ -48,16 +50,24 @@
   submit.Fallback = execution.Fallback;
   submit.DataCentre = ctx.S.DataCentre;
   execution.Reported = execution.Record.Answer.size();
+  execution.RegisteredRun = execution.Record.Run;
   sendTo(ctx, execution.Holder, std::move(submit));
 }
 
 void updateHolder(Context &ctx, Execution &execution) {
   const auto holder =
       holderFor(ctx.S, execution.Record.Key, execution.Record.Spec.Repeatable, false);
-  if (!holder || holder->Node == execution.Holder)
+  if (!holder)
+    return;
+  if (holder->Node == execution.Holder) {
+    // A fallback holder may have been promoted, or an owner may have lost its shard.
+    execution.Fallback = holder->Fallback;
     return;
-  const NodeId former = execution.Holder;
-  const bool wasFallback = execution.Fallback;
+  }
+  if (execution.Fallback && execution.Record.Spec.Repeatable)
+    execution.FormerHolders.push_back({execution.Holder, execution.RegisteredRun});
+  std::erase_if(execution.FormerHolders,
+                [&](const FormerHolder &it) { return it.Node == holder->Node; });
   execution.Holder = holder->Node;
   execution.Fallback = holder->Fallback;
   incrementCounter(ctx, "reregistered", "owner_changed");
@@ -66,14 +76,18 @@
     registerExecution(ctx, execution);
   if (execution.Phase == ExecutionPhase::Finishing || execution.Phase == ExecutionPhase::Closing)
     reportEnd(ctx, execution);
-  if (!wasFallback || !execution.Record.Spec.Repeatable || !isAlive(ctx.S, former))
-    return;
-  // The fallback holder no longer needs to keep the record.
-  message::Finish finish;
-  finish.Key = execution.Record.Key;
-  finish.Run = execution.Record.Run;
-  finish.Code = ResultCode::HandedOver;
-  sendTo(ctx, former, std::move(finish));
+}
+
+void releaseFormerHolders(Context &ctx, Execution &execution) {
+  for (const FormerHolder &it : std::exchange(execution.FormerHolders, {})) {
+    if (!isAlive(ctx.S, it.Node))
+      continue;
+    message::Finish finish;
+    finish.Key = execution.Record.Key;
+    finish.Run = it.Run;
+    finish.Code = ResultCode::HandedOver;
+    sendTo(ctx, it.Node, std::move(finish));
+  }
 }
 
 } // namespace chervil::node::detail
--- a/packages/testing/NodeDriver.cpp
+++ b/packages/testing/NodeDriver.cpp
@@ -472,6 +472,7 @@
   if (caller->Request.Repeatable) {
     // A key that is not found was lost with all its copies: the caller starts over.
     if (refuse.Code == ResultCode::RequestNotFound) {
+      ++NotFound;
       caller->Fetching = false;
       caller->Text.clear();
     } else if (!caller->Text.empty()) {
@@ -564,6 +565,7 @@
   Report report;
   report.Requests = Callers.size();
   report.LateToLeaving = LateToLeaving;
+  report.NotFound = NotFound;
   report.Violations = Violations;
   for (const auto &[key, caller] : Callers) {
     if (!caller.Done)
--- a/packages/testing/NodeDriver.h
+++ b/packages/testing/NodeDriver.h
@@ -66,6 +66,8 @@
   /// Keys executed although every attempt was answered `not_run`.
   std::size_t WrongNotRun = 0;
   std::size_t LateToLeaving = 0;
+  /// Refusals of repeatable requests because no copy of the record was found.
+  std::size_t NotFound = 0;
   std::vector<std::string> Violations;
   /// One line per request without a whole answer: key, attempts and the last refusal.
   std::vector<std::string> Details;
@@ -235,6 +237,7 @@
   std::set<std::string> NotRunKeys;
   std::vector<std::string> Violations;
   std::size_t LateToLeaving = 0;
+  std::size_t NotFound = 0;
   /// The key-value service.
   std::string MapBody;
   std::uint64_t MapVersion = 0;
