--- a/packages/http/Server.cpp
+++ b/packages/http/Server.cpp
@@ -1,18 +1,17 @@
-#include "http/Server.h"
+#include "http/ServerDetail.h"
 
 #include "http/Socket.h"
 #include "net/SocketAddress.h"
 
 #include <algorithm>
-#include <cerrno>
 #include <cstdio>
-#include <optional>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <unordered_map>
 #include <vector>
 
 namespace chervil::http {
+namespace detail {
 namespace {
 
 using namespace std::chrono_literals;
@@ -29,119 +28,12 @@
 // reset the connection before the response is read.
 constexpr Duration LingerTime = 1s;
 
-enum class Phase : std::uint8_t {
-  /// Waiting for the first byte of a request.
-  Idle,
-  Reading,
-  /// A request was handed on and is not completely answered.
-  Serving,
-  /// Everything is written and our side is shut; waits for the caller to close.
-  Lingering,
-};
-
-struct Connection {
-  Server *Owner = nullptr;
-  int Fd = -1;
-  ev_io ReadWatcher{};
-  ev_io WriteWatcher{};
-  Phase State = Phase::Idle;
-  std::uint64_t Id = 0;
-  std::unique_ptr<RequestReader> Reader;
-  std::string In;
-  std::string Out;
-  std::size_t OutAt = 0;
-  /// Since the present phase, or the last byte of a body.
-  TimePoint Since{};
-  TimePoint Started{};
-  /// When the client last took bytes of the response, or the response was given.
-  TimePoint Wrote{};
-  /// IP address of the client.
-  std::string Address;
-  /// Bytes of the request that is being served.
-  std::uint64_t RequestBytes = 0;
-  /// What the memory budget counts for this connection.
-  std::uint64_t ChargedRequest = 0;
-  std::uint64_t ChargedResponse = 0;
-  bool CloseAfter = false;
-  bool Answered = false;
-  bool Broken = false;
-  bool ReadPaused = false;
-};
-
-} // namespace
-
-struct Server {
-  net::Loop *Loop = nullptr;
-  net::TimerService *Timers = nullptr;
-  ServerOptions Options;
-  ServerEvents Events;
-  int Fd = -1;
-  ev_io Accept{};
-  net::TimerId Sweep = 0;
-  bool Draining = false;
-  std::uint64_t NextId = 1;
-  std::unordered_map<Connection *, std::unique_ptr<Connection>> Connections;
-  std::unordered_map<std::uint64_t, Connection *> Requests;
-  std::unordered_map<std::string, std::size_t> ConnectionsByAddress;
-  bool AcceptPaused = false;
-};
-
-namespace {
-
-TimePoint now() { return net::readNow().Steady; }
-
-bool hasOutput(const Connection &c) { return c.OutAt < c.Out.size(); }
-
 /// Frees a buffer that is empty; one that was large stays large otherwise.
 void freeIfEmpty(std::string &buf) {
   if (buf.empty() && buf.capacity() > MaxIdleBuffer)
     std::string().swap(buf);
 }
 
-/// Reports to the memory budget what the connection holds now.
-void charge(Connection &c) {
-  limits::MemoryBudget *memory = c.Owner->Options.Memory;
-  if (memory == nullptr)
-    return;
-  freeIfEmpty(c.In);
-  freeIfEmpty(c.Out);
-  const std::uint64_t request =
-      sizeof(c) + c.In.capacity() + c.RequestBytes + (c.Reader ? heldBytes(*c.Reader) : 0);
-  limits::adjust(*memory, limits::MemoryUse::Requests, c.ChargedRequest, request);
-  limits::adjust(*memory, limits::MemoryUse::Responses, c.ChargedResponse, c.Out.capacity());
-  c.ChargedRequest = request;
-  c.ChargedResponse = c.Out.capacity();
-}
-
-void noteShed(const Connection &c, Shed reason) {
-  if (c.Owner->Events.OnShed)
-    c.Owner->Events.OnShed(c.Address, reason);
-}
-
-/// Removes the connection; reports the caller as gone if its request is not answered.
-void drop(Connection &c) {
-  Server &server = *c.Owner;
-  ev_io_stop(server.Loop->Raw.get(), &c.ReadWatcher);
-  ev_io_stop(server.Loop->Raw.get(), &c.WriteWatcher);
-  close(c.Fd);
-  if (server.Options.Memory != nullptr) {
-    limits::adjust(*server.Options.Memory, limits::MemoryUse::Requests, c.ChargedRequest, 0);
-    limits::adjust(*server.Options.Memory, limits::MemoryUse::Responses, c.ChargedResponse, 0);
-  }
-  if (const auto count = server.ConnectionsByAddress.find(c.Address);
-      count != server.ConnectionsByAddress.end() && --count->second == 0)
-    server.ConnectionsByAddress.erase(count);
-  const std::uint64_t id = c.State == Phase::Serving ? c.Id : 0;
-  const auto it = server.Connections.find(&c);
-  const std::unique_ptr<Connection> keep = std::move(it->second);
-  server.Connections.erase(it);
-  if (id != 0) {
-    server.Requests.erase(id);
-    if (server.Events.OnGone)
-      server.Events.OnGone(id);
-  }
-}
-
 void linger(Connection &c) {
   (void)shutdown(c.Fd, SHUT_WR);
   c.State = Phase::Lingering;
@@ -238,49 +130,6 @@
   respond(server, c.Id, {.Status = status, .Fields = std::move(fields), .Body = {}, .Close = true});
 }
 
-/// Refuses a request that does not fit into the memory budget. It has not run.
-void rejectForMemory(Connection &c, Shed reason) {
-  noteShed(c, reason);
-  reject(c, 503, {{"Retry-After", NoMemoryRetryAfter}});
-}
-
-/// What the connection holds for a request that is being read or a response that waits; empty if
-/// it is not to be evicted.
-std::optional<limits::MemoryHolder> evictable(const Connection &c) {
-  if (c.State == Phase::Reading)
-    return limits::MemoryHolder{c.ChargedRequest, c.Started, c.Since, false};
-  if (c.State == Phase::Serving && hasOutput(c))
-    return limits::MemoryHolder{c.ChargedRequest + c.ChargedResponse, c.Started, c.Wrote, true};
-  return std::nullopt;
-}
-
-/// Frees memory until the budget holds, or nothing may be evicted any more.
-void evict(Server &server) {
-  const limits::MemoryBudget *memory = server.Options.Memory;
-  if (memory == nullptr)
-    return;
-  while (limits::excessBytes(*memory) > 0) {
-    std::vector<Connection *> connections;
-    std::vector<limits::MemoryHolder> holders;
-    for (const auto &[c, owner] : server.Connections)
-      if (const auto it = evictable(*c)) {
-        connections.push_back(c);
-        holders.push_back(*it);
-      }
-    const auto chosen = limits::chooseEviction(*memory, holders, net::readNow());
-    if (!chosen)
-      return;
-    Connection &c = *connections[*chosen];
-    if (holders[*chosen].IsResponse) {
-      noteShed(c, Shed::Stalled);
-      drop(c);
-    } else {
-      const bool stalled = now() - c.Since >= limits::StalledRequestTime;
-      rejectForMemory(c, stalled ? Shed::Stalled : Shed::NoMemory);
-    }
-  }
-}
-
 /// Returns true if a body of the announced length fits into the memory budget.
 bool fits(const Connection &c) {
   const limits::MemoryBudget *memory = c.Owner->Options.Memory;
@@ -347,100 +196,6 @@
   }
 }
 
-void onReadable(Connection &c) {
-  Server &server = *c.Owner;
-  const IoState state = readSome(c.Fd, c.In);
-  if (state == IoState::Blocked && c.In.empty())
-    return;
-  if (state == IoState::Ended || state == IoState::Failed) {
-    drop(c);
-    return;
-  }
-  if (c.State == Phase::Lingering) {
-    // What is thrown away must not leave a large buffer behind.
-    c.In.clear();
-    freeIfEmpty(c.In);
-    return;
-  }
-  if (c.State == Phase::Serving) {
-    charge(c);
-    const limits::MemoryBudget *memory = server.Options.Memory;
-    const bool crowded = memory != nullptr && !limits::hasRoom(*memory, MaxReadAhead);
-    if (c.In.size() > MaxReadAhead || (crowded && !c.In.empty())) {
-      c.ReadPaused = true;
-      ev_io_stop(server.Loop->Raw.get(), &c.ReadWatcher);
-    }
-    return;
-  }
-  readRequests(c);
-  if (server.Connections.contains(&c))
-    charge(c);
-  evict(server);
-}
-
-/// Stops accepting until the next sweep. A descriptor that cannot be had would otherwise wake the
-/// loop again and again.
-void pauseAccept(Server &server) {
-  ev_io_stop(server.Loop->Raw.get(), &server.Accept);
-  server.AcceptPaused = true;
-}
-
-bool hasConnectionFor(const Server &server, const std::string &address) {
-  const auto it = server.ConnectionsByAddress.find(address);
-  return it == server.ConnectionsByAddress.end() ||
-         it->second < server.Options.MaxConnectionsPerAddress;
-}
-
-void onAccept(Server &server) {
-  for (;;) {
-    if (server.Options.MayAccept && !server.Options.MayAccept()) {
-      pauseAccept(server);
-      return;
-    }
-    sockaddr_in from{};
-    socklen_t n = sizeof(from);
-    const int fd =
-        accept4(server.Fd, reinterpret_cast<sockaddr *>(&from), &n, SOCK_CLOEXEC | SOCK_NONBLOCK);
-    if (fd < 0) {
-      if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM)
-        pauseAccept(server);
-      return;
-    }
-    const std::string address = net::formatIp(from);
-    const bool isFull = server.Connections.size() >= server.Options.MaxConnections;
-    if (isFull || !hasConnectionFor(server, address)) {
-      if (server.Events.OnShed)
-        server.Events.OnShed(address, Shed::TooManyConnections);
-      close(fd);
-      continue;
-    }
-    prepareSocket(fd);
-    auto it = std::make_unique<Connection>();
-    it->Owner = &server;
-    it->Fd = fd;
-    it->Address = address;
-    ++server.ConnectionsByAddress[address];
-    it->Since = now();
-    ev_io_init(
-        &it->ReadWatcher,
-        [](struct ev_loop *, ev_io *w, int) { onReadable(*static_cast<Connection *>(w->data)); },
-        fd, EV_READ);
-    ev_io_init(
-        &it->WriteWatcher,
-        [](struct ev_loop *, ev_io *w, int) {
-          auto &c = *static_cast<Connection *>(w->data);
-          Server &owner = *c.Owner;
-          if (flush(c) && owner.Connections.contains(&c))
-            readRequests(c);
-        },
-        fd, EV_WRITE);
-    it->ReadWatcher.data = it->WriteWatcher.data = it.get();
-    ev_io_start(server.Loop->Raw.get(), &it->ReadWatcher);
-    charge(*it);
-    server.Connections.emplace(it.get(), std::move(it));
-  }
-}
-
 /// True if the body being read arrives so slowly that its connection is not kept for it.
 bool isBodyTooSlow(const Connection &c, TimePoint at) {
   const ServerLimits &limits = c.Owner->Options.Limits;
@@ -481,10 +236,7 @@
     if (server.Connections.contains(c))
       reject(*c, 408);
   evict(server);
-  if (server.AcceptPaused && server.Fd >= 0) {
-    server.AcceptPaused = false;
-    ev_io_start(server.Loop->Raw.get(), &server.Accept);
-  }
+  resumeAccepting(server);
 }
 
 Connection *connectionOf(Server &server, std::uint64_t id) {
@@ -494,6 +246,94 @@
 
 } // namespace
 
+void charge(Connection &c) {
+  limits::MemoryBudget *memory = c.Owner->Options.Memory;
+  if (memory == nullptr)
+    return;
+  freeIfEmpty(c.In);
+  freeIfEmpty(c.Out);
+  const std::uint64_t request =
+      sizeof(c) + c.In.capacity() + c.RequestBytes + (c.Reader ? heldBytes(*c.Reader) : 0);
+  limits::adjust(*memory, limits::MemoryUse::Requests, c.ChargedRequest, request);
+  limits::adjust(*memory, limits::MemoryUse::Responses, c.ChargedResponse, c.Out.capacity());
+  c.ChargedRequest = request;
+  c.ChargedResponse = c.Out.capacity();
+}
+
+void noteShed(const Connection &c, Shed reason) {
+  if (c.Owner->Events.OnShed)
+    c.Owner->Events.OnShed(c.Address, reason);
+}
+
+void drop(Connection &c) {
+  Server &server = *c.Owner;
+  ev_io_stop(server.Loop->Raw.get(), &c.ReadWatcher);
+  ev_io_stop(server.Loop->Raw.get(), &c.WriteWatcher);
+  close(c.Fd);
+  if (server.Options.Memory != nullptr) {
+    limits::adjust(*server.Options.Memory, limits::MemoryUse::Requests, c.ChargedRequest, 0);
+    limits::adjust(*server.Options.Memory, limits::MemoryUse::Responses, c.ChargedResponse, 0);
+  }
+  if (const auto count = server.ConnectionsByAddress.find(c.Address);
+      count != server.ConnectionsByAddress.end() && --count->second == 0)
+    server.ConnectionsByAddress.erase(count);
+  const std::uint64_t id = c.State == Phase::Serving ? c.Id : 0;
+  const auto it = server.Connections.find(&c);
+  const std::unique_ptr<Connection> keep = std::move(it->second);
+  server.Connections.erase(it);
+  if (id != 0) {
+    server.Requests.erase(id);
+    if (server.Events.OnGone)
+      server.Events.OnGone(id);
+  }
+}
+
+void rejectForMemory(Connection &c, Shed reason) {
+  noteShed(c, reason);
+  reject(c, 503, {{"Retry-After", NoMemoryRetryAfter}});
+}
+
+void onReadable(Connection &c) {
+  Server &server = *c.Owner;
+  const IoState state = readSome(c.Fd, c.In);
+  if (state == IoState::Blocked && c.In.empty())
+    return;
+  if (state == IoState::Ended || state == IoState::Failed) {
+    drop(c);
+    return;
+  }
+  if (c.State == Phase::Lingering) {
+    // What is thrown away must not leave a large buffer behind.
+    c.In.clear();
+    freeIfEmpty(c.In);
+    return;
+  }
+  if (c.State == Phase::Serving) {
+    charge(c);
+    const limits::MemoryBudget *memory = server.Options.Memory;
+    const bool crowded = memory != nullptr && !limits::hasRoom(*memory, MaxReadAhead);
+    if (c.In.size() > MaxReadAhead || (crowded && !c.In.empty())) {
+      c.ReadPaused = true;
+      ev_io_stop(server.Loop->Raw.get(), &c.ReadWatcher);
+    }
+    return;
+  }
+  readRequests(c);
+  if (server.Connections.contains(&c))
+    charge(c);
+  evict(server);
+}
+
+void onWritable(Connection &c) {
+  Server &owner = *c.Owner;
+  if (flush(c) && owner.Connections.contains(&c))
+    readRequests(c);
+}
+
+} // namespace detail
+
+using namespace detail;
+
 const char *toString(Shed reason) {
   switch (reason) {
   case Shed::NoMemory:
@@ -533,7 +373,7 @@
   server->Fd = *fd;
   ev_io_init(
       &server->Accept,
-      [](struct ev_loop *, ev_io *w, int) { onAccept(*static_cast<Server *>(w->data)); }, *fd,
+      [](struct ev_loop *, ev_io *w, int) { acceptWaiting(*static_cast<Server *>(w->data)); }, *fd,
       EV_READ);
   server->Accept.data = server.get();
   ev_io_start(loop.Raw.get(), &server->Accept);
@@ -564,7 +404,7 @@
   if (server.Fd < 0)
     return;
   // Closing the socket resets the connections that wait to be accepted.
-  onAccept(server);
+  acceptWaiting(server);
   ev_io_stop(server.Loop->Raw.get(), &server.Accept);
   close(server.Fd);
   server.Fd = -1;
