--- a/tools/lib/clients/stand.py
+++ b/tools/lib/clients/stand.py
@@ -27,6 +27,8 @@
 # Source address of the clients outside the limits; ordinary ones use 127.0.0.1.
 CROWD_ADDRESS = "127.0.0.2"
 START_TIMEOUT = 20.0
+# A refused ordinary request is repeated as often as this before it counts as not answered.
+ATTEMPTS, PAUSE = 40, 0.5
 
 
 def free_port():
@@ -35,15 +37,64 @@
         return it.getsockname()[1]
 
 
-class Stand:
+class Clients:
+    """What clients of a node need: its ports, and what they send."""
+
+    def __init__(self, ports):
+        self.peer, self.front, self.ready, self.entry, self.admin = self.ports = ports
+
+    async def ask(self, path, body=b"", chunks=None, timeout=10.0):
+        """Status of one ordinary request on a connection of its own; 0 if there is no answer."""
+        writer = None
+        try:
+            reader, writer = await asyncio.wait_for(
+                asyncio.open_connection("127.0.0.1", self.front, limit=1 << 20), timeout)
+            if chunks is None:
+                writer.write(wire.request("POST", path, self.fields(), body))
+            else:
+                writer.write(self.head(path))
+                writer.write(chunks + b"0\r\n\r\n")
+            answer = await asyncio.wait_for(wire.read_message(reader), timeout)
+            return answer.status if answer is not None else 0
+        except (OSError, wire.BrokenMessage, asyncio.TimeoutError):
+            return 0
+        finally:
+            if writer is not None:
+                wire.abort(writer)
+
+    def fields(self, **more):
+        return {"Host": HOST, "Attempt-Id": uuid.uuid4().hex[:16], "Deadline-Ms": 8000,
+                "X-Api-Key": KEY, **more}
+
+    def head(self, path, **more):
+        """Head of a request with a chunked body, or with the fields given instead."""
+        return wire.head(f"POST {path} HTTP/1.1",
+                         self.fields(**(more or {"Transfer-Encoding": "chunked"})))
+
+    async def connect(self, receive_buffer=None, port=None, address=CROWD_ADDRESS):
+        """A connection of a client outside the limits, to the callers' listener unless `port` says."""
+        it = socket.socket()
+        it.setblocking(False)
+        if receive_buffer:
+            it.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        it.bind((address, 0))
+        try:
+            await asyncio.get_running_loop().sock_connect(it, ("127.0.0.1", port or self.front))
+        except BaseException:
+            it.close()
+            raise
+        return await asyncio.open_connection(sock=it, limit=1 << 16)
+
+
+class Stand(Clients):
     def __init__(self, program, memory_mb=MEMORY_MB, descriptors=DESCRIPTORS):
+        super().__init__([free_port() for _ in range(5)])
         self.program = program
         self.limits = {"edge.memory_mb": memory_mb, "edge.max_descriptors": descriptors}
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="chervil-clients-"))
         self.begin = time.monotonic()
         self.store = Store(self)
         self.process = None
-        self.peer, self.front, self.ready, self.entry, self.admin = [free_port() for _ in range(5)]
         self.most_descriptors = 0
         self.served = 0
         self.tasks = []
@@ -94,45 +145,13 @@
     def descriptors(self):
         return len(list(pathlib.Path(f"/proc/{self.process.pid}/fd").iterdir()))
 
-    async def ask(self, path, body=b"", chunks=None, timeout=10.0):
-        """Status of one ordinary request on a connection of its own; 0 if there is no answer."""
-        writer = None
-        try:
-            reader, writer = await asyncio.wait_for(
-                asyncio.open_connection("127.0.0.1", self.front, limit=1 << 20), timeout)
-            if chunks is None:
-                writer.write(wire.request("POST", path, self.fields(), body))
-            else:
-                writer.write(self.head(path))
-                writer.write(chunks + b"0\r\n\r\n")
-            answer = await asyncio.wait_for(wire.read_message(reader), timeout)
-            return answer.status if answer is not None else 0
-        except (OSError, wire.BrokenMessage, asyncio.TimeoutError):
-            return 0
-        finally:
-            if writer is not None:
-                wire.abort(writer)
-
-    # What clients send.
-
-    def fields(self, **more):
-        return {"Host": HOST, "Attempt-Id": uuid.uuid4().hex[:16], "Deadline-Ms": 8000,
-                "X-Api-Key": KEY, **more}
-
-    def head(self, path, **more):
-        """Head of a request with a chunked body, or with the fields given instead."""
-        return wire.head(f"POST {path} HTTP/1.1",
-                         self.fields(**(more or {"Transfer-Encoding": "chunked"})))
-
-    async def connect(self, receive_buffer=None):
-        """A connection of a client outside the limits."""
-        it = socket.socket()
-        it.setblocking(False)
-        if receive_buffer:
-            it.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
-        it.bind((CROWD_ADDRESS, 0))
-        await asyncio.get_running_loop().sock_connect(it, ("127.0.0.1", self.front))
-        return await asyncio.open_connection(sock=it, limit=1 << 16)
+    async def ask_until_answered(self, path, body=b"x" * 1000):
+        """The same, repeated while the request is refused; the status of the last one."""
+        for _ in range(ATTEMPTS):
+            if (status := await self.ask(path, body)) == 200 or not self.alive():
+                return status
+            await asyncio.sleep(PAUSE)
+        return status
 
     # Stand-ins.
 
