http: a response of unknown encoding is refused however it arrives

Found by http_FuzzResponses: the parser drops the error that on_header_impl reports when bytes of the body have arrived with the head, so that a response with an encoding other than chunked was taken as one that ends with the connection; in two reads it was refused. Requests were refused either way. The error is now repeated when the body begins.

--- a/packages/http/Reader.cpp
+++ b/packages/http/Reader.cpp
@@ -39,6 +39,8 @@
   /// Both a length and chunks: the message could be read in two ways (request smuggling).
   bool HasLength = false;
   bool HasEncoding = false;
+  /// Why a complete head cannot be taken.
+  ErrorCode HeadError;
 
   void on_request_impl(beast::verb, BeastView method, BeastView target, int,
                        ErrorCode &ec) override {
@@ -72,13 +74,15 @@
     Target->Head.Fields.emplace_back(toText(name), toText(value));
   }
   void on_header_impl(ErrorCode &ec) override {
-    ec = {};
+    HeadError = {};
     if (HasEncoding && !this->chunked())
-      ec = beast::error::bad_transfer_encoding;
+      HeadError = beast::error::bad_transfer_encoding;
+    ec = HeadError;
     Target->State = ReadState::Body;
   }
   void on_body_init_impl(boost::optional<std::uint64_t> const &, ErrorCode &ec) override {
-    ec = {};
+    // The parser drops the error of a head whose body has arrived with it.
+    ec = HeadError;
   }
   std::size_t on_body_impl(BeastView body, ErrorCode &ec) override {
     ec = {};
--- a/packages/http/ReaderTest.cpp
+++ b/packages/http/ReaderTest.cpp
@@ -101,6 +101,18 @@
   }
 }
 
+// Guards against a response of unknown encoding that is refused only if its body arrives later.
+BOOST_AUTO_TEST_CASE(UnknownEncodingsOfResponsesFail) {
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n";
+  for (const std::string &text : {head, head + "hello"}) {
+    ResponseReader reader;
+    (void)feed(reader, text);
+    feedEnd(reader);
+    BOOST_TEST((reader.State == ReadState::Failed), text);
+    BOOST_TEST(reader.Body.empty());
+  }
+}
+
 // Guards against a response that fails because its head arrives before its body, and against one
 // whose head is reported only with the end of its body.
 BOOST_AUTO_TEST_CASE(HeadMayArriveBeforeTheBody) {
