net, daemon: connections at all listeners stay within the descriptors

Connections of nodes that have not proved themselves were bounded by MaxAccepted (4,096) only, and those at the listeners for entries, readiness and operators by a quarter of the sockets each, without regard to the others. Now an eighth of the sockets may be in the handshake; beyond it the oldest is closed, because a node proves itself within a round trip, also beside such connections. New metrics: peer_connections, peer_cut_total{too_many_handshakes}.

--- a/packages/daemon/edge/Edge.cpp
+++ b/packages/daemon/edge/Edge.cpp
@@ -265,6 +265,10 @@
   setGauge(metrics, "memory_ceiling_bytes", static_cast<double>(edge.Memory.Ceiling));
   setGauge(metrics, "caller_connections",
            static_cast<double>(http::openConnections(*edge.Callers)));
+  const net::PeerCounters &peers = net::counters(*edge.Peers);
+  setGauge(metrics, "peer_connections", static_cast<double>(peers.ConnectionsOpen));
+  setTotal(metrics, "peer_cut", "too_many_handshakes",
+           static_cast<double>(peers.CutTooManyHandshakes));
   setTotal(metrics, "log_lines", "dropped", static_cast<double>(edge.Log.Dropped));
   return serialise(metrics);
 }
--- a/packages/daemon/edge/EdgeDetail.h
+++ b/packages/daemon/edge/EdgeDetail.h
@@ -115,6 +115,8 @@
 void tickDuty(Edge &edge);
 
 // EdgeServers.cpp
+/// Sockets that the settings allow.
+std::size_t maxSockets(const Edge &edge);
 Result<void> startServers(Edge &edge);
 http::ServerLimits limitsOf(const relay::CallerLimits &limits);
 
--- a/packages/daemon/edge/EdgePeers.cpp
+++ b/packages/daemon/edge/EdgePeers.cpp
@@ -19,6 +19,10 @@
 constexpr std::size_t SmallFleet = 16;
 // A node that has sent no usage for this long may not know who holds the duty.
 constexpr Duration SilentReporter = 1s;
+// Part of the sockets for accepted connections whose node has not proved itself, and the least
+// number. The smallest VM may have 2,875 sockets; 359 are more than the nodes of a fleet.
+constexpr std::size_t HandshakeDivisor = 8;
+constexpr std::size_t MinHandshakes = 32;
 // A fleet that shrank is taken to be as large as before for this long: its nodes may be cut off.
 constexpr Duration KnownTime = 60s;
 
@@ -206,7 +210,8 @@
        .DataCentre = node.DataCentre,
        .Listen = node.PeerListen,
        .Advertise = node.PeerAdvertise,
-       .Secret = node.PeerSecret},
+       .Secret = node.PeerSecret,
+       .MaxHandshakes = std::max(MinHandshakes, maxSockets(edge) / HandshakeDivisor)},
       {.OnMessage =
            [&edge](const NodeId &from, const std::string &address, message::Message &&m) {
              std::visit(Dispatch{edge, from, address, net::readNow()}, m);
--- a/packages/daemon/edge/EdgeServers.cpp
+++ b/packages/daemon/edge/EdgeServers.cpp
@@ -24,6 +24,8 @@
 // Part of the sockets up to which connections are accepted, and part that callers may have. The
 // rest is left to calls that pass requests on, to health checks and to operators.
 constexpr double MaxAcceptFraction = 0.9;
+// The same for the listeners that are left: all sockets.
+constexpr double MaxQuestionFraction = 1.0;
 constexpr double CallerFraction = 0.75;
 // A client address may have this part of the connections of all callers.
 constexpr double AddressFraction = 0.5;
@@ -74,19 +76,14 @@
            {"connections", std::to_string(http::openConnections(*edge.Callers))}});
 }
 
-/// Sockets that the settings allow.
-std::size_t maxSockets(const Edge &edge) {
-  const std::size_t descriptors = edge.Settings.Edge.MaxDescriptors;
-  return descriptors > FileDescriptors ? descriptors - FileDescriptors : 1;
-}
-
-/// True while enough descriptors are left for calls and other nodes.
-bool mayAccept(const Edge &edge) {
-  std::size_t open = http::openConnections(*edge.Backends) + http::openConnections(*edge.Platform) +
-                     SocketsPerNode * edge.Relay.LiveNodes;
+/// True while less than this part of the sockets is used.
+bool mayAccept(const Edge &edge, double fraction) {
+  std::size_t open =
+      http::openConnections(*edge.Backends) + http::openConnections(*edge.Platform) +
+      std::max(SocketsPerNode * edge.Relay.LiveNodes, net::counters(*edge.Peers).ConnectionsOpen);
   for (const http::ServerPtr *it : {&edge.Callers, &edge.Ready, &edge.Entry, &edge.Admin})
     open += *it == nullptr ? 0 : http::openConnections(**it);
-  return static_cast<double>(open) < MaxAcceptFraction * static_cast<double>(maxSockets(edge));
+  return static_cast<double>(open) < fraction * static_cast<double>(maxSockets(edge));
 }
 
 http::Response answerEntry(Edge &edge, const http::Request &request) {
@@ -126,6 +123,7 @@
   options.MaxConnections = std::min(MaxQuestionConnections, maxSockets(edge) / 4);
   options.MaxConnectionsPerAddress = options.MaxConnections;
   options.Memory = &edge.Memory;
+  options.MayAccept = [&edge] { return mayAccept(edge, MaxQuestionFraction); };
   auto started = http::startServer(edge.Loop, edge.Timers, std::move(options),
                                    {.OnRequest = [&edge, &server, answer](http::Request &&request) {
                                      http::respond(*server, request.Id, answer(edge, request));
@@ -138,6 +136,11 @@
 
 } // namespace
 
+std::size_t maxSockets(const Edge &edge) {
+  const std::size_t descriptors = edge.Settings.Edge.MaxDescriptors;
+  return descriptors > FileDescriptors ? descriptors - FileDescriptors : 1;
+}
+
 http::ServerLimits limitsOf(const relay::CallerLimits &limits) {
   return {.Read = {.HeaderBytes = limits.HeaderBytes, .BodyBytes = limits.BodyBytes},
           .HeaderTimeout = limits.HeaderTimeout,
@@ -153,7 +156,7 @@
   options.MaxConnectionsPerAddress =
       static_cast<std::size_t>(AddressFraction * static_cast<double>(options.MaxConnections));
   options.Memory = &edge.Memory;
-  options.MayAccept = [&edge] { return mayAccept(edge); };
+  options.MayAccept = [&edge] { return mayAccept(edge, MaxAcceptFraction); };
   auto callers = http::startServer(
       edge.Loop, edge.Timers, std::move(options),
       {.OnRequest = [&edge](http::Request &&r) { onCallerRequest(edge, std::move(r)); },
--- a/packages/net/PeerCounters.h
+++ b/packages/net/PeerCounters.h
@@ -27,6 +27,8 @@
   /// Ended or reset by the other side.
   std::uint64_t ConnectionsLost = 0;
   std::uint64_t ConnectionsOverBound = 0;
+  /// Closed during the handshake because of MaxHandshakes.
+  std::uint64_t CutTooManyHandshakes = 0;
 
   /// Connections cut by this side, by reason.
   std::uint64_t CutBadFrame = 0;
--- a/packages/net/PeerTransport.cpp
+++ b/packages/net/PeerTransport.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <deque>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <unordered_map>
@@ -38,6 +39,7 @@
   AuthFailed,
   TooSlow,
   QueueFull,
+  TooManyHandshakes,
 };
 
 struct Connection {
@@ -84,6 +86,8 @@
   std::string Address;
   std::unordered_map<std::string, std::unique_ptr<Connection>> Outgoing;
   std::unordered_map<Connection *, std::unique_ptr<Connection>> Incoming;
+  /// Accepted connections whose peer has not proved itself, the oldest first.
+  std::deque<Connection *> Handshakes;
   std::unordered_map<std::string, TimePoint> Failures;
   std::vector<Connection *> Dirty;
   std::vector<Connection *> Cut;
@@ -103,6 +107,7 @@
   PeerTransport &t = *c.Transport;
   ev_io_stop(t.Loop, &c.Io);
   t.Cut.push_back(&c);
+  std::erase(t.Handshakes, &c);
   if (!ev_is_active(&t.Reap)) {
     ev_timer_set(&t.Reap, 0.0, 0.0);
     ev_timer_start(t.Loop, &t.Reap);
@@ -216,6 +221,7 @@
 
 void becomeReady(Connection &c) {
   c.At = Stage::Ready;
+  std::erase(c.Transport->Handshakes, &c);
   c.Reader.Limit = wire::MaxPayloadSize;
   c.OwnHello.clear();
   c.PeerHello.clear();
@@ -353,6 +359,8 @@
     close(fd);
     return;
   }
+  if (!t.Handshakes.empty() && t.Handshakes.size() >= t.Options.MaxHandshakes)
+    cut(*t.Handshakes.front(), CutReason::TooManyHandshakes);
   auto owned = std::make_unique<Connection>();
   Connection &c = *owned;
   c.Transport = &t;
@@ -360,6 +368,7 @@
   c.At = Stage::Hello;
   c.LastUse = c.StageStart = now();
   t.Incoming.emplace(&c, std::move(owned));
+  t.Handshakes.push_back(&c);
   ++t.Counters.ConnectionsAccepted;
   attach(c, fd);
   watchFor(c, EV_READ);
@@ -410,6 +419,9 @@
   case CutReason::QueueFull:
     ++counters.CutQueueFull;
     break;
+  case CutReason::TooManyHandshakes:
+    ++counters.CutTooManyHandshakes;
+    break;
   }
 }
 
--- a/packages/net/PeerTransport.h
+++ b/packages/net/PeerTransport.h
@@ -47,6 +47,9 @@
   std::size_t SendQueueBound = 8 << 20;
   /// Accepted connections beyond this number are closed at once.
   std::size_t MaxAccepted = 4096;
+  /// Accepted connections whose peer has not proved itself. Beyond this number the oldest is closed
+  /// for a new one, because a peer proves itself within a round trip.
+  std::size_t MaxHandshakes = 512;
 };
 
 struct PeerCallbacks {
--- a/packages/net/PeerTransportTest.cpp
+++ b/packages/net/PeerTransportTest.cpp
@@ -436,6 +436,30 @@
   BOOST_TEST(b->count().ConnectionsOverBound == 1U);
 }
 
+// Guards against connections that never prove themselves and hold descriptors, or keep a node out.
+BOOST_FIXTURE_TEST_CASE(HandshakesAreBounded, Fixture) {
+  const auto a = start("a");
+  const auto b = start("b", {.MaxHandshakes = 2});
+  RawPeer one(b->address());
+  RawPeer two(b->address());
+  BOOST_REQUIRE(runUntil([&] { return b->count().ConnectionsOpen == 2; }));
+  RawPeer three(b->address());
+  BOOST_TEST(runUntil([&] { return one.closed(); }));
+  BOOST_TEST(!two.closed());
+  send(*a->Transport, b->address(), ping(1));
+  BOOST_TEST(runUntil([&] { return b->Messages.size() == 1; }));
+  BOOST_TEST(two.closed());
+  BOOST_TEST(!three.closed());
+  BOOST_TEST(b->count().CutTooManyHandshakes == 2U);
+  // A peer that has proved itself is not closed for one that has not.
+  RawPeer four(b->address());
+  RawPeer five(b->address());
+  BOOST_TEST(runUntil([&] { return three.closed(); }));
+  send(*a->Transport, b->address(), ping(2));
+  BOOST_TEST(runUntil([&] { return b->Messages.size() == 2; }));
+  BOOST_TEST(a->count().ConnectionsOpened == 1U);
+}
+
 // Guards against a start without a secret, which would admit anyone.
 BOOST_FIXTURE_TEST_CASE(BadOptionsAreRejected, Fixture) {
   BOOST_TEST(!startPeerTransport(EventLoop, {}, {}).has_value());
