relay: versions of servers during a rollout, and evidence for it

A node chose servers without regard to their version. While an order is open, servers of its target now get only what grants allow; this holds for new and waiting requests, retries, resumed streams, claims, prefix holders and homes. A request takes its version once and keeps it. Holders of a prefix among the target's servers have an index of their own, so that they do not displace those of the old version.

Good, failed and slow answers by route and version go to NodeShare. A connection that broke counts only once its server is known to live: a crash is no evidence.

Without Options::Rollouts, or without an order, the criteria carry no filter and choices are unchanged. NodeShare gets giveBack(), isGranted(), allowsAnother() and takeAnother() for further sends of a request.

--- a/packages/relay/ActiveRequest.h
+++ b/packages/relay/ActiveRequest.h
@@ -10,6 +10,7 @@
 #include "relay/EventProgress.h"
 #include "relay/EventSplitter.h"
 #include "relay/RequestInfo.h"
+#include "relay/VersionUse.h"
 
 #include <string>
 #include <vector>
@@ -105,6 +106,8 @@
   TimePoint NextMove{};
   /// Id of the last event forwarded to the caller.
   std::string LastEvent;
+  /// Its part in the rollout of the service.
+  VersionUse Versions;
 };
 
 } // namespace chervil::relay
--- a/packages/relay/BackendEvents.cpp
+++ b/packages/relay/BackendEvents.cpp
@@ -3,6 +3,7 @@
 #include "relay/detail/BackendCalls.h"
 #include "relay/detail/Context.h"
 #include "relay/detail/Dispatch.h"
+#include "relay/detail/Evidence.h"
 #include "relay/detail/Limits.h"
 #include "relay/detail/Outcome.h"
 #include "relay/detail/SuspectParts.h"
@@ -126,6 +127,7 @@
     ctx.Out.push_back(Gossip{report});
   }
   detail::onAnswerBroke(ctx, request);
+  detail::noteBroken(ctx, request);
   onLost(ctx, request,
          request.Status != 0 ? ResultCode::BackendBadAnswer : ResultCode::BackendDied);
 }
@@ -162,6 +164,7 @@
   if (advance(request.Progress, bytes)) {
     request.LastProgress = ctx.Time.Steady;
     timeEvent(ctx, request);
+    detail::noteEvent(request, ctx.Time);
   }
   if (!request.Route->Resumable) {
     ctx.Out.push_back(StreamBytes{request.Id, std::string(bytes)});
@@ -185,9 +188,13 @@
   return request.Route->Kind == RouteKind::Stream && request.IsGenuine && request.Status == 200;
 }
 
-/// Handles a call whose server sent more than an answer can hold.
-void onExcess(Context &ctx, ActiveRequest &request) {
+/// Handles a call whose server sent more than an answer can hold, or, if `isCrowded`, more than
+/// this node can collect now.
+void onExcess(Context &ctx, ActiveRequest &request, bool isCrowded) {
   ctx.Out.push_back(IncrementCounter{"backend_misbehaved", "excess"});
+  // An answer of a usual size may find the memory of this node taken by others.
+  if (!isCrowded)
+    detail::noteFailed(ctx, request);
   detail::logRequest(ctx, request, "answer_too_large",
                      {{"collected", std::to_string(request.Body.size())}});
   onLost(ctx, request, ResultCode::BackendBadAnswer);
@@ -198,6 +205,7 @@
   if (isStreamed(request)) {
     detail::onAnswerProgress(ctx, request, true);
     onContentAnswered(ctx, request);
+    detail::noteAnswer(ctx, request);
     recordOutcome(ctx.S.Servers, request.Backend, SendOutcome::Success, ctx.Time);
     ++request.PossibleRuns;
     if (!request.Events.Partial.empty())
@@ -206,6 +214,7 @@
     return;
   }
   if (!request.IsGenuine) {
+    detail::noteFailed(ctx, request);
     onLost(ctx, request, ResultCode::BackendBadAnswer);
     return;
   }
@@ -216,6 +225,8 @@
                             request.Status == 408 || request.Status == 421;
   if (request.Status >= 500 || claimsNotRun) {
     request.LastFailure = ResultCode::BackendRefused;
+    if (request.Status >= 500)
+      detail::noteFailed(ctx, request);
     recordOutcome(ctx.S.Servers, request.Backend, SendOutcome::ServerError, ctx.Time);
     ++request.PossibleRuns;
     if (detail::retryRequest(ctx, request, true))
@@ -227,6 +238,8 @@
     detail::forwardAnswer(ctx, request);
     return;
   }
+  if (request.Status < 400)
+    detail::noteAnswer(ctx, request);
   recordOutcome(ctx.S.Servers, request.Backend, SendOutcome::Success, ctx.Time);
   ++request.PossibleRuns;
   if (request.Stage == Stage::Streaming)
@@ -278,9 +291,9 @@
   if (isStreamed(*request)) {
     streamEvents(ctx, *request, bytes);
     if (request->Events.Partial.size() > MaxEventBytes)
-      onExcess(ctx, *request);
+      onExcess(ctx, *request, false);
   } else if (!collect(state, *request, bytes)) {
-    onExcess(ctx, *request);
+    onExcess(ctx, *request, request->Body.size() + bytes.size() <= state.Settings.MaxAnswerBytes);
   }
 }
 
@@ -302,10 +315,11 @@
     return;
   }
   case BackendEnd::Excessive:
-    onExcess(ctx, *request);
+    onExcess(ctx, *request, false);
     return;
   case BackendEnd::NotSent:
     recordOutcome(state.Servers, request->Backend, SendOutcome::Broken, now);
+    detail::noteUnreachable(ctx, *request);
     onRejected(ctx, *request, ResultCode::BackendConnectFailed);
     return;
   case BackendEnd::Broken:
@@ -337,7 +351,10 @@
     return;
   request.NextMove = ctx.Time.Steady + MovePeriod;
   const std::string server = request.Backend;
+  const VersionUse versions = request.Versions;
   const CallId call = request.Call;
+  if (isPatienceOver)
+    noteTimeout(ctx, request);
   if (isPatienceOver || moveStalled(ctx, request)) {
     ctx.Out.push_back(IncrementCounter{"backend_misbehaved", "stalled"});
     logRequest(ctx, request, "stalled",
@@ -346,6 +363,7 @@
   if (isPatienceOver) {
     onLost(ctx, request, ResultCode::BackendTimeout);
   } else if (request.Call != call) {
+    noteMoved(ctx, request, server, versions, silence);
     recordOutcome(ctx.S.Servers, server, SendOutcome::Broken, ctx.Time);
     ctx.Out.push_back(CancelBackend{call});
   }
--- a/packages/relay/Backends.cpp
+++ b/packages/relay/Backends.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <functional>
 #include <set>
 
 namespace chervil::relay {
@@ -72,6 +73,38 @@
          hasFreeCapacity(criteria, it) && passesLimit(criteria, it, now);
 }
 
+bool hasAllowedVersion(const SelectionCriteria &criteria, const Backend &it) {
+  return !criteria.Versions || allows(*criteria.Versions, it.Entry.Version);
+}
+
+std::uint64_t rankOf(const VersionFilter &filter, const Backend &it) {
+  return hashBytes(it.Entry.Id, filter.Order);
+}
+
+/// Returns the lowest rank of the servers to which VersionFilter::Servers restricts the choice. It
+/// does not depend on what only this node knows, so that all nodes use the same servers.
+std::uint64_t leastRank(const Backends &backends, const SelectionCriteria &criteria) {
+  const VersionFilter &filter = *criteria.Versions;
+  if (filter.Servers == 0)
+    return 0;
+  std::vector<std::uint64_t> ranks;
+  for (const auto &[id, it] : backends.Servers)
+    if (!it.Leaving && it.Entry.Service == criteria.Service && hasAllowedVersion(criteria, it))
+      ranks.push_back(rankOf(filter, it));
+  if (ranks.size() <= filter.Servers)
+    return 0;
+  std::ranges::nth_element(ranks, ranks.begin() + (filter.Servers - 1), std::greater<>());
+  return ranks[filter.Servers - 1];
+}
+
+/// Removes the servers whose version is not allowed or whose rank is too low.
+void keepAllowed(std::vector<const Backend *> &from, const SelectionCriteria &criteria,
+                 std::uint64_t least) {
+  std::erase_if(from, [&](const Backend *it) {
+    return !hasAllowedVersion(criteria, *it) || rankOf(*criteria.Versions, *it) < least;
+  });
+}
+
 std::vector<const Backend *> eligibleServers(const Backends &backends,
                                              const SelectionCriteria &criteria, const Now &now) {
   std::vector<const Backend *> good;
@@ -81,6 +114,11 @@
       continue;
     (it.AvoidUntil > now.Steady ? avoided : good).push_back(&it);
   }
+  if (criteria.Versions) {
+    const std::uint64_t least = leastRank(backends, criteria);
+    keepAllowed(good, criteria, least);
+    keepAllowed(avoided, criteria, least);
+  }
   return good.empty() ? avoided : good;
 }
 
@@ -124,12 +162,14 @@
   return best;
 }
 
-/// Returns the first holder that is still listed, so that a prefix can be fetched from it; null if
-/// there is none.
-const Backend *firstReachable(const Backends &backends, std::span<const std::string> holders) {
+/// Returns the first holder of an allowed version that is still listed, so that a prefix can be
+/// fetched from it; null if there is none.
+const Backend *firstReachable(const Backends &backends, const SelectionCriteria &criteria,
+                              std::span<const std::string> holders) {
   for (const std::string &id : holders) {
     const auto it = backends.Servers.find(id);
-    if (it != backends.Servers.end() && !it->second.MissingSince)
+    if (it != backends.Servers.end() && !it->second.MissingSince &&
+        hasAllowedVersion(criteria, it->second))
       return &it->second;
   }
   return nullptr;
@@ -189,8 +229,9 @@
                       const SelectionCriteria &criteria, std::uint64_t prefix, const Now &now,
                       Random &rng) {
   // The most recent reader comes first.
-  const std::span<const std::string> holders = holdersOf(backends.PrefixCache, prefix);
-  const Backend *holder = firstReachable(backends, holders);
+  const std::span<const std::string> holders =
+      holdersOf(backends.PrefixCache, prefix, criteria.Versions && criteria.Versions->IsTarget);
+  const Backend *holder = firstReachable(backends, criteria, holders);
   const Homes homes = homesOf(from, prefix);
   const auto hasPrefix = [&](const Backend *it) {
     return holder == nullptr ? it == homes[0]
@@ -296,6 +337,8 @@
     removeServer(backends.PrefixCache, entry.Id);
   }
   it.Entry = entry;
+  if (entry.WarmUpTime > 0ms)
+    it.WarmUntil = now.Steady + entry.WarmUpTime;
   if (entry.Missing)
     return;
   it.MissingSince.reset();
@@ -400,7 +443,8 @@
 bool hasServerBehindLimit(const Backends &backends, SelectionCriteria criteria, const Now &now) {
   criteria.Limited = SelectionCriteria::LimitedServers::All;
   return std::ranges::any_of(backends.Servers, [&](const auto &it) {
-    return isLimited(it.second) && isEligible(criteria, it.second, now);
+    return isLimited(it.second) && isEligible(criteria, it.second, now) &&
+           hasAllowedVersion(criteria, it.second);
   });
 }
 
@@ -413,11 +457,11 @@
   return isNew;
 }
 
-std::optional<TimePoint> endOfPause(const Backends &backends, std::string_view service,
+std::optional<TimePoint> endOfPause(const Backends &backends, const SelectionCriteria &criteria,
                                     const Now &now) {
   std::optional<TimePoint> first;
   for (const auto &[id, it] : backends.Servers) {
-    if (it.Leaving || it.Entry.Service != service)
+    if (it.Leaving || it.Entry.Service != criteria.Service || !hasAllowedVersion(criteria, it))
       continue;
     if (it.NothingUntil <= now.Steady)
       return std::nullopt;
@@ -426,9 +470,10 @@
   return first;
 }
 
-bool hasActiveServer(const Backends &backends, std::string_view service) {
+bool hasActiveServer(const Backends &backends, const SelectionCriteria &criteria) {
   return std::ranges::any_of(backends.Servers, [&](const auto &it) {
-    return !it.second.Leaving && it.second.Entry.Service == service;
+    return !it.second.Leaving && it.second.Entry.Service == criteria.Service &&
+           hasAllowedVersion(criteria, it.second);
   });
 }
 
--- a/packages/relay/Backends.h
+++ b/packages/relay/Backends.h
@@ -17,6 +17,7 @@
 #include "relay/PrefixCacheIndex.h"
 #include "relay/RequestInfo.h"
 #include "relay/RequestLimit.h"
+#include "relay/VersionFilter.h"
 
 #include <map>
 #include <optional>
@@ -56,6 +57,8 @@
   TimePoint ClaimDeniedUntil{};
   /// What the answers that passed through this node say about its speed since its start.
   balance::SpeedEvidence Speed;
+  /// It is slow after its start until this time.
+  TimePoint WarmUntil{};
 };
 
 /// Usual times of the backend servers of a service.
@@ -135,6 +138,8 @@
   LimitedServers Limited = LimitedServers::Claimable;
   /// Id of the only server that may be chosen; empty for all.
   std::string_view Only;
+  /// Versions that may be chosen; empty for all, without a rollout.
+  std::optional<VersionFilter> Versions;
   /// What this node sends to the service.
   double OwnTokensPerSecond = 0;
 };
@@ -178,13 +183,15 @@
 /// asked for that yet.
 bool pauseServer(Backends &backends, const std::string &id, Duration time, const Now &now);
 
-/// Returns when the first server of a service takes requests again, if all that are not leaving
-/// have asked this node to send nothing; empty if one takes requests now or there is none.
-std::optional<TimePoint> endOfPause(const Backends &backends, std::string_view service,
+/// Returns when the first server takes requests again, if all that are not leaving have asked this
+/// node to send nothing; empty if one takes requests now or there is none. Regards the service and
+/// the versions of the criteria.
+std::optional<TimePoint> endOfPause(const Backends &backends, const SelectionCriteria &criteria,
                                     const Now &now);
 
-/// Returns true if the service has a server that is not leaving.
-bool hasActiveServer(const Backends &backends, std::string_view service);
+/// Returns true if the service has a server of an allowed version that is not leaving. Regards the
+/// service and the versions of the criteria.
+bool hasActiveServer(const Backends &backends, const SelectionCriteria &criteria);
 
 /// Returns the server with this id, or null. The pointer is valid until the list changes.
 Backend *find(Backends &backends, const std::string &id);
--- a/packages/relay/PrefixCacheIndex.h
+++ b/packages/relay/PrefixCacheIndex.h
@@ -12,7 +12,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -30,6 +32,11 @@
 struct PrefixCacheIndex {
   /// Ids of the servers by prefix hash, most recent reader first.
   std::unordered_map<std::uint64_t, std::vector<std::string>> Servers;
+  /// The same for the servers on trial.
+  std::unordered_map<std::uint64_t, std::vector<std::string>> TrialHolders;
+  /// Ids of servers of the target of a rollout. They must not displace other holders, which
+  /// requests at the old version rely on.
+  std::set<std::string, std::less<>> OnTrial;
   /// Hashes of prefixes that this node recorded and has not sent to its peers yet, by server.
   std::map<std::string, std::vector<std::uint64_t>> UnsentHolders;
 };
@@ -44,9 +51,13 @@
 /// Returns the holders that have not been sent to other nodes, and clears them.
 message::CachedPromptParts takeUnsentHolders(PrefixCacheIndex &index);
 
-/// Returns the ids of the known holders, most recent first; empty if there are none. Valid until
-/// the index changes.
-std::span<const std::string> holdersOf(const PrefixCacheIndex &index, std::uint64_t prefix);
+/// Returns the ids of the known holders, most recent first; empty if there are none. Only servers
+/// on trial, or only others. Valid until the index changes.
+std::span<const std::string> holdersOf(const PrefixCacheIndex &index, std::uint64_t prefix,
+                                       bool onTrial = false);
+
+/// Sets which servers are on trial. What is known of a server stays known.
+void setOnTrial(PrefixCacheIndex &index, std::set<std::string, std::less<>> servers);
 
 /// Removes a server that has stopped or restarted and therefore lost its cache.
 void removeServer(PrefixCacheIndex &index, const std::string &server);
--- a/packages/relay/Relay.cpp
+++ b/packages/relay/Relay.cpp
@@ -3,8 +3,10 @@
 #include "relay/detail/BackendCalls.h"
 #include "relay/detail/Context.h"
 #include "relay/detail/Dispatch.h"
+#include "relay/detail/Evidence.h"
 #include "relay/detail/Outcome.h"
 #include "relay/detail/SuspectParts.h"
+#include "relay/detail/Versions.h"
 
 #include <algorithm>
 #include <random>
@@ -169,6 +171,7 @@
     detail::logDeparture(out, it, "list");
     out.push_back(Gossip{std::move(it)});
   }
+  detail::onServersChanged(state);
 }
 
 void onBackendDeparture(State &state, const message::BackendDeparture &departure, Effects &out,
@@ -344,8 +347,11 @@
     if (const auto it = state.ActiveRequests.find(id); it != state.ActiveRequests.end())
       detail::handleStalledCall(ctx, it->second);
   for (const RequestId id : timedOut)
-    if (const auto it = state.ActiveRequests.find(id); it != state.ActiveRequests.end())
+    if (const auto it = state.ActiveRequests.find(id); it != state.ActiveRequests.end()) {
+      if (it->second.Call != 0)
+        detail::noteTimeout(ctx, it->second);
       detail::refuseTimedOut(ctx, it->second);
+    }
 }
 
 } // namespace chervil::relay
--- a/packages/relay/Relay.h
+++ b/packages/relay/Relay.h
@@ -71,6 +71,8 @@
   std::map<std::string, PrefillDemand> PrefillDemands;
   /// Rollouts of versions that this node has heard of, by service.
   relay::Rollouts Rollouts;
+  /// How long answers usually take. Empty unless Options::Rollouts is set.
+  relay::UsualTimes UsualTimes;
   /// Contents whose servers crashed.
   retry::Quarantine Quarantine;
   /// Parts of prompts that crash servers, and when peers that may have missed them are told next.
--- a/packages/relay/detail/Dispatch.cpp
+++ b/packages/relay/detail/Dispatch.cpp
@@ -4,6 +4,7 @@
 #include "relay/detail/Limits.h"
 #include "relay/detail/Outcome.h"
 #include "relay/detail/SuspectParts.h"
+#include "relay/detail/Versions.h"
 
 #include <algorithm>
 
@@ -79,6 +80,7 @@
   request.TimedEvents = 0;
   request.EventsSince = {};
   onRequestSent(state.Servers, request.Backend, request.PendingTokens);
+  onVersionSent(state, request, server);
   if (!request.Info.Prompt.empty())
     onPromptSent(state.PrefillDemands[request.Service], request.PendingTokens, ctx.Time);
   CallBackend call;
@@ -99,20 +101,31 @@
   ctx.Out.push_back(std::move(call));
 }
 
-SelectionCriteria criteriaOf(const State &state, const ActiveRequest &request, const Now &now) {
+SelectionCriteria criteriaOf(Context &ctx, ActiveRequest &request) {
+  const State &state = ctx.S;
   SelectionCriteria criteria;
+  criteria.Versions = versionsFor(ctx.S, request, ctx.Time, ctx.Rng);
   criteria.Service = request.Service;
   criteria.Prompt = request.Info.Prompt;
   criteria.Excluded = request.TriedServers;
   if (const Service *service = findService(request))
     criteria.MaxInflight = maxInflight(state, *service);
   if (const auto it = state.PrefillDemands.find(request.Service); it != state.PrefillDemands.end())
-    criteria.OwnTokensPerSecond = prefillTokensPerSecond(it->second, now);
+    criteria.OwnTokensPerSecond = prefillTokensPerSecond(it->second, ctx.Time);
   if (request.DeniedClaims >= MaxDeniedClaims)
     criteria.Limited = SelectionCriteria::LimitedServers::None;
   return criteria;
 }
 
+/// Chooses a server; an old one if no server of the target can take the request.
+Choice choose(Context &ctx, ActiveRequest &request, SelectionCriteria &criteria) {
+  const Choice choice = chooseServer(ctx.S.Servers, criteria, ctx.Time, ctx.Rng);
+  if (choice.Server != nullptr || !leaveTarget(ctx.S, request, ctx.Time))
+    return choice;
+  criteria.Versions = versionsFor(ctx.S, request, ctx.Time, ctx.Rng);
+  return chooseServer(ctx.S.Servers, criteria, ctx.Time, ctx.Rng);
+}
+
 void send(Context &ctx, ActiveRequest &request, const Choice &choice) {
   if (!request.IsRetrying)
     onFirstSend(ctx.S.Retries[request.Service], ctx.Time, ctx.S.Settings.RetryWindow);
@@ -135,8 +148,9 @@
 
 /// Refuses a request whose servers have all asked this node to send nothing, if they do so for
 /// longer than it may wait. Returns false if it may still be served.
-bool refusePaused(Context &ctx, ActiveRequest &request, Duration maxQueueTime) {
-  const auto until = endOfPause(ctx.S.Servers, request.Service, ctx.Time);
+bool refusePaused(Context &ctx, ActiveRequest &request, const SelectionCriteria &criteria,
+                  Duration maxQueueTime) {
+  const auto until = endOfPause(ctx.S.Servers, criteria, ctx.Time);
   if (!until || *until <= request.Arrived + maxQueueTime)
     return false;
   const auto time = std::chrono::ceil<std::chrono::milliseconds>(*until - ctx.Time.Steady);
@@ -146,9 +160,9 @@
 }
 
 /// Refuses a request that waited too long for a server.
-void refuseWaiting(Context &ctx, ActiveRequest &request) {
+void refuseWaiting(Context &ctx, ActiveRequest &request, const SelectionCriteria &criteria) {
   std::chrono::milliseconds retryAfter = NoServerRetryAfter;
-  if (hasServerBehindLimit(ctx.S.Servers, criteriaOf(ctx.S, request, ctx.Time), ctx.Time)) {
+  if (hasServerBehindLimit(ctx.S.Servers, criteria, ctx.Time)) {
     retryAfter += returnSpread(ctx);
     ctx.Out.push_back(IncrementCounter{"refused_behind", "server_limit"});
     logRequest(ctx, request, "waited_for_server_limit", {});
@@ -158,8 +172,8 @@
 
 /// Continues a stream on another server, or ends it if none can be found in time.
 void resumeStream(Context &ctx, ActiveRequest &request) {
-  const Choice choice =
-      chooseServer(ctx.S.Servers, criteriaOf(ctx.S, request, ctx.Time), ctx.Time, ctx.Rng);
+  SelectionCriteria criteria = criteriaOf(ctx, request);
+  const Choice choice = choose(ctx, request, criteria);
   if (choice.Server != nullptr)
     place(ctx, request, choice);
   else if (ctx.Time.Steady - request.LastProgress > stallTimeout(*request.Route))
@@ -182,23 +196,23 @@
   }
   if (request.SendClaim != 0)
     return;
-  const Choice choice =
-      chooseServer(state.Servers, criteriaOf(state, request, ctx.Time), ctx.Time, ctx.Rng);
+  SelectionCriteria criteria = criteriaOf(ctx, request);
+  const Choice choice = choose(ctx, request, criteria);
   if (choice.Server != nullptr) {
     place(ctx, request, choice);
     return;
   }
-  if (!hasActiveServer(state.Servers, request.Service)) {
+  if (!hasActiveServer(state.Servers, criteria)) {
     refuse(ctx, request, ResultCode::NoBackend, NoServerRetryAfter);
     return;
   }
   const auto maxQueueTime = std::chrono::duration_cast<Duration>(
       MaxQueueTimeFraction *
       std::min<Duration>(request.Route->Target, request.GiveUp - request.Arrived));
-  if (refusePaused(ctx, request, maxQueueTime))
+  if (refusePaused(ctx, request, criteria, maxQueueTime))
     return;
   if (ctx.Time.Steady - request.Arrived > maxQueueTime)
-    refuseWaiting(ctx, request);
+    refuseWaiting(ctx, request, criteria);
 }
 
 bool waitsToResume(const ActiveRequest &request) {
@@ -213,7 +227,7 @@
 }
 
 void sendClaimed(Context &ctx, ActiveRequest &request, const std::string &server) {
-  SelectionCriteria criteria = criteriaOf(ctx.S, request, ctx.Time);
+  SelectionCriteria criteria = criteriaOf(ctx, request);
   criteria.Limited = SelectionCriteria::LimitedServers::All;
   criteria.Only = server;
   const Choice choice = chooseServer(ctx.S.Servers, criteria, ctx.Time, ctx.Rng);
@@ -234,8 +248,8 @@
   if (request.PossibleRuns >= request.Route->MaxAttempts || request.TriedServers.size() >= bound ||
       ctx.Time.Steady + MinTimeLeftToSend > request.GiveUp)
     return false;
-  const SelectionCriteria criteria = criteriaOf(state, request, ctx.Time);
-  const Choice choice = chooseServer(state.Servers, criteria, ctx.Time, ctx.Rng);
+  SelectionCriteria criteria = criteriaOf(ctx, request);
+  const Choice choice = choose(ctx, request, criteria);
   if (choice.Server == nullptr && !hasServerBehindLimit(state.Servers, criteria, ctx.Time))
     return false;
   if (!tryAcquireRetry(state.Retries[request.Service], state.Settings, state.LiveNodes, ctx.Time)) {
--- a/packages/rollout/NodeShare.cpp
+++ b/packages/rollout/NodeShare.cpp
@@ -78,6 +78,24 @@
   return true;
 }
 
+void giveBack(NodeShare &share) {
+  --share.Sent;
+  if (share.Grant.Bounded)
+    ++share.Units;
+}
+
+bool isGranted(const NodeShare &share, const Now &now) { return isInForce(share, now); }
+
+bool allowsAnother(const NodeShare &share, const Now &now) {
+  return isInForce(share, now) && (!share.Grant.Bounded || share.Units > 0);
+}
+
+void takeAnother(NodeShare &share) {
+  ++share.Sent;
+  if (share.Grant.Bounded && share.Units > 0)
+    --share.Units;
+}
+
 bool isClosed(const NodeShare &share, const Now &now) {
   return isInForce(share, now) && share.Grant.Closing;
 }
--- a/packages/rollout/NodeShare.h
+++ b/packages/rollout/NodeShare.h
@@ -44,6 +44,19 @@
 /// Decides for a new request whether it goes to the target, and counts it.
 bool takeRequest(NodeShare &share, std::string_view route, const Now &now, Random &rng);
 
+/// Undoes what takeRequest() counted for the target: no server of the target can take the request
+/// now. Only before the next report.
+void giveBack(NodeShare &share);
+
+/// True if a grant is in force, which requests that were counted for the target still need when
+/// they are sent.
+bool isGranted(const NodeShare &share, const Now &now);
+/// True if one more send to the target is allowed for a request that takeRequest() has seen, such
+/// as a resumed stream.
+bool allowsAnother(const NodeShare &share, const Now &now);
+/// Counts such a send.
+void takeAnother(NodeShare &share);
+
 /// Returns true if new requests go only to the target.
 bool isClosed(const NodeShare &share, const Now &now);
 
