rollout: units are not hoarded, and weak evidence holds the shift

A node now gets three times what it is expected to use until its next report, and two more. A suspect route gets three times the weight of others, also in the load test, which goes on while there is evidence against the target.

The model of the fleet repeats requests of the first route that failed at the target at an old server, as nodes do, and withdraws the evidence if they fail there too. Random draws of other requests are unchanged.

--- a/packages/rollout/Controller.cpp
+++ b/packages/rollout/Controller.cpp
@@ -19,6 +19,19 @@
 // Weight of a route whose evidence suffices, relative to one that lacks evidence: it may still turn
 // bad.
 constexpr double AcceptedWeight = 0.25;
+// Evidence on a route that has risen this far since its last minimum makes the route suspect: it
+// gets a larger part of the requests, so that few units decide on it.
+constexpr double SuspectAt = 2;
+constexpr double SuspectWeight = 3;
+// With evidence that has risen this far, the load test goes on while there is time for it, and the
+// rollout is reverted if the evidence is still above the second value then. That is one decision,
+// so that it needs less evidence than a test that is applied at each moment.
+constexpr double HoldAt = 3;
+constexpr double RevertHeldAt = 6;
+// A node gets units for this many times the requests that it is expected to send to the target
+// before its next report, and some more: units that it does not use are missing elsewhere.
+constexpr double UnitsPerNeed = 3;
+constexpr double SpareUnits = 2;
 // A rare route goes to the target as a whole, but for this part, which tells what is usual.
 constexpr double MostRouteShare = 0.8;
 constexpr std::uint32_t FirstShiftShare = 500;
@@ -39,6 +52,8 @@
 // Time that load test, shift and closing take at most.
 constexpr std::chrono::milliseconds MaxFinishTime{4000};
 constexpr int FinishPart = 3;
+// The part of it that shift and closing need.
+constexpr std::chrono::milliseconds MaxShiftingTime{2500};
 // Half of the time is for versions that turn bad late.
 constexpr int WatchPart = 2;
 constexpr std::int64_t LeastAnswers = 10;
@@ -80,6 +95,19 @@
   return std::min(budgetOf(c), confirmed) - static_cast<double>(exposedRequests(c));
 }
 
+Duration shiftingTime(const Controller &c) {
+  return std::min<Duration>(MaxShiftingTime, finishTime(c) * 5 / 8);
+}
+
+double riseOf(const RouteTests &it) { return std::max(it.Failed.Rise, it.Slow.Rise); }
+
+double highestRise(const Controller &c) {
+  double out = riseOf(c.AllRoutes);
+  for (const auto &[name, it] : c.Routes)
+    out = std::max(out, riseOf(it));
+  return out;
+}
+
 bool isRouteAccepted(const RouteTests &it) { return isAccepted(it.Failed) && isAccepted(it.Slow); }
 
 /// Share that the started servers can take.
@@ -137,9 +165,22 @@
          });
 }
 
+bool isLoadTimeOver(const Controller &c, const Now &now) {
+  return c.LoadServers == 0 || now.Steady - c.Entered >= LoadTime;
+}
+
+bool mustShift(const Controller &c, const Now &now) {
+  return ageOf(c, now) >= c.Order.Time - shiftingTime(c);
+}
+
+/// Evidence against the target is left at the end of the load test.
+bool isSuspect(const Controller &c, const Inputs & /*in*/, const Now &now) {
+  return isLoadTimeOver(c, now) && mustShift(c, now) && highestRise(c) >= RevertHeldAt;
+}
+
 /// The units of the load test are used and answered, or enough time has passed for that.
 bool isLoadTested(const Controller &c, const Inputs & /*in*/, const Now &now) {
-  return c.LoadServers == 0 || now.Steady - c.Entered >= LoadTime;
+  return isLoadTimeOver(c, now) && (mustShift(c, now) || highestRise(c) < HoldAt);
 }
 
 bool isShifted(const Controller &c, const Inputs &in, const Now &now) {
@@ -178,6 +219,7 @@
     Step{State::Probing, mustFinishAndLeans, State::Loading, "time_short_leans_to_good"},
     Step{State::Probing, isTooLate, State::Reverted, "time_short_evidence_weak"},
     Step{State::Loading, isBad, State::Reverted, "worse_under_load"},
+    Step{State::Loading, isSuspect, State::Reverted, "suspect_under_load"},
     Step{State::Loading, isLoadTested, State::Shifting, "load_tested"},
     Step{State::Shifting, isBad, State::Reverted, "worse_while_shifting"},
     Step{State::Shifting, isShifted, State::Closing, "shifted"},
@@ -230,7 +272,8 @@
 /// to the target.
 void grantUnits(const Controller &c, message::RolloutGrant &out, const NodeRecord &node,
                 Random &rng) {
-  const double units = unitsFor(c, node);
+  const double expected = node.Recent * out.SharePermille / WholeShare;
+  const double units = std::min(unitsFor(c, node), SpareUnits + UnitsPerNeed * expected);
   std::uniform_real_distribution<double> draw(0, 1);
   const double whole = std::floor(units);
   out.Units = static_cast<std::uint32_t>(whole) + (draw(rng) < units - whole ? 1 : 0);
@@ -263,6 +306,8 @@
     return double(std::max<std::int64_t>(0, total.BaseAnswers + total.TargetAnswers));
   };
   const auto weightOf = [](const RouteTests &it) {
+    if (riseOf(it) > SuspectAt)
+      return SuspectWeight;
     return isRouteAccepted(it) ? AcceptedWeight : 1.0;
   };
   for (const auto &[name, it] : c.Routes) {
@@ -298,9 +343,7 @@
     fillRoutes(c, out, 1, in);
     break;
   case State::Loading:
-    out.Servers = c.LoadServers;
-    out.SharePermille = permille(
-        std::min(1.0, double(c.LoadServers) / double(std::max<std::size_t>(1, in.TargetServers))));
+    fillRoutes(c, out, c.LoadServers, in);
     break;
   case State::Shifting:
     out.Bounded = false;
--- a/packages/rollout/RolloutModel.h
+++ b/packages/rollout/RolloutModel.h
@@ -63,6 +63,8 @@
 struct Model {
   test::Scenario Scenario;
   Random Rng;
+  /// For retries, so that they do not change what is drawn for the other requests.
+  Random RetryRng;
   Now Time{TimePoint(1000s), WallTime(1'000'000'000ms)};
   Now Began = Time;
   StoreModel Store;
@@ -87,8 +89,8 @@
   std::uint64_t HarmedAtCompletion = 0;
 
   Model(const test::Scenario &scenario, std::uint64_t seed)
-      : Scenario(scenario), Rng(seed), Nodes(scenario.Nodes), OldOpen(scenario.Nodes),
-        NextReport(scenario.Nodes) {}
+      : Scenario(scenario), Rng(seed), RetryRng(~seed), Nodes(scenario.Nodes),
+        OldOpen(scenario.Nodes), NextReport(scenario.Nodes) {}
 };
 
 inline rollout::Order orderOf(const Model &m) {
@@ -127,6 +129,21 @@
   return m.Lately.empty() ? 0 : target / double(m.Lately.size()) / part;
 }
 
+/// Repeats a request that failed at the target at an old server, as nodes do on the first route,
+/// whose requests may run twice. If it fails there too, its evidence is withdrawn.
+inline void retryAtOld(Model &m, std::size_t node, const std::string &name, const Moment &moment) {
+  std::uniform_real_distribution<double> draw(0, 1);
+  const bool fails = draw(m.RetryRng) < m.Scenario.Both(moment);
+  ++m.OldOpen[node];
+  later(m, 40ms + std::chrono::milliseconds(int(draw(m.RetryRng) * 120)), [&m, node, name, fails] {
+    --m.OldOpen[node];
+    if (fails)
+      withdrawFailure(m.Nodes[node], name, true);
+    else
+      onAnswer(m.Nodes[node], name, false, AnswerQuality::Good);
+  });
+}
+
 inline void request(Model &m, std::size_t node) {
   ++m.Arrived;
   const double r = draw(m);
@@ -144,13 +161,17 @@
     ++m.OldOpen[node];
   }
   const bool isBad = draw(m) < bad;
-  later(m, 40ms + std::chrono::milliseconds(int(draw(m) * 120)), [&m, node, name, target, isBad] {
-    onAnswer(m.Nodes[node], name, target, isBad ? m.Scenario.Bad : AnswerQuality::Good);
-    if (!target)
-      --m.OldOpen[node];
-    else if (isBad && ++m.BadAnswers == 50)
-      m.FiftiethBad = m.Time.Steady;
-  });
+  later(m, 40ms + std::chrono::milliseconds(int(draw(m) * 120)),
+        [&m, node, name, target, isBad, moment] {
+          onAnswer(m.Nodes[node], name, target, isBad ? m.Scenario.Bad : AnswerQuality::Good);
+          if (target && isBad && m.Scenario.Bad == AnswerQuality::Failed && moment.Route == 0 &&
+              !isClosed(m.Nodes[node], m.Time))
+            retryAtOld(m, node, name, moment);
+          if (!target)
+            --m.OldOpen[node];
+          else if (isBad && ++m.BadAnswers == 50)
+            m.FiftiethBad = m.Time.Steady;
+        });
 }
 
 inline void carryOut(Model &m, const Action &it) {
