relay: after a completed order the old servers get no requests

The old servers stop at the moment at which an order is completed, before they are removed from the list, and versions were no longer looked at from then on. A request that was sent there in between was cut off. Their versions are now excluded until they have gone from the list, for at most 10 s.

relay_test: no errors; CompletedOrderEndsTheDivision fails without the change.

--- a/packages/relay/Rollouts.cpp
+++ b/packages/relay/Rollouts.cpp
@@ -15,6 +15,10 @@
 // that was not heard for this time is taken to have no grant in force: they last for 2 s.
 constexpr Duration HolderMemory = 5s;
 
+// The old servers stop at the moment at which an order is completed; their entries lapse, or are
+// removed, within this time.
+constexpr Duration StopTime = 10s;
+
 bool isSameOrder(const message::RolloutGrant &a, const message::RolloutGrant &b) {
   return a.Order == b.Order && a.Target == b.Target;
 }
@@ -52,11 +56,24 @@
       hasOtherVersion(state, rollout, grant.Service, known.Target, grant.Target))
     rollout.Excluded.insert(known.Target);
   rollout.Excluded.erase(grant.Target);
+  rollout.Stopping.erase(grant.Target);
   rollout.Broken.clear();
   const VersionCapacity capacity = capacityOf(state, grant.Service, grant.Target);
   rollout.Ignored = capacity.TargetServers > 0 && capacity.OldServers == 0;
 }
 
+/// The order was completed: old servers may stop before they are removed from the list.
+void excludeOld(const State &state, ServiceRollout &rollout, const message::RolloutGrant &grant,
+                const Now &now) {
+  if (capacityOf(state, grant.Service, grant.Target).TargetServers == 0)
+    return;
+  for (const auto &[id, it] : state.Servers.Servers)
+    if (it.Entry.Service == grant.Service && it.Entry.Version != grant.Target &&
+        rollout.Excluded.insert(it.Entry.Version).second)
+      rollout.Stopping.insert(it.Entry.Version);
+  rollout.StoppingUntil = now.Steady + StopTime;
+}
+
 void logGrant(Effects &out, const message::RolloutGrant &grant, const ServiceRollout &rollout) {
   const char *state = grant.Ended == detail::Completed  ? "completed"
                       : grant.Ended == detail::Reverted ? "reverted"
@@ -100,6 +117,7 @@
     rollout.Share.Grant.Token = grant.Token;
   const bool isNewOrder = !isSameOrder(grant, rollout.Share.Grant);
   const std::uint32_t endedBefore = rollout.Share.Grant.Ended;
+  const bool wasDivided = !isNewOrder && detail::isDivided(rollout);
   if (isNewOrder)
     replaceOrder(state, rollout, grant);
   const bool isTaken = rollout::onGrant(rollout.Share, taken, now);
@@ -107,6 +125,8 @@
     rollout.Heard = now.Steady;
   if (isTaken && (grant.Seq != 0 || grant.Ended != 0))
     rollout.Ignored = false;
+  if (wasDivided && rollout.Share.Grant.Ended == detail::Completed)
+    excludeOld(state, rollout, grant, now);
   if (rollout.Share.Grant.Ended == detail::Reverted)
     rollout.Excluded.insert(grant.Target);
   const bool isNew = isNewOrder || rollout.Share.Grant.Ended != endedBefore;
--- a/packages/relay/Rollouts.h
+++ b/packages/relay/Rollouts.h
@@ -52,6 +52,10 @@
   /// Versions that get nothing until an order names them: reverted targets, and those of orders
   /// that were replaced before they were completed.
   VersionSet Excluded;
+  /// Those of them whose servers stop because the order was completed, and until when the servers
+  /// may still be listed.
+  VersionSet Stopping;
+  TimePoint StoppingUntil{};
   /// When the holder whose token Share.Grant has was last heard.
   TimePoint Heard{};
   std::vector<BrokenAnswer> Broken;
--- a/packages/relay/RolloutsTest.cpp
+++ b/packages/relay/RolloutsTest.cpp
@@ -117,15 +117,28 @@
   BOOST_TEST((f.play(20) == Counts{{"v1", 15}, {"v2", 5}}));
 }
 
-// Guards against an old server that is preferred for ever after a rollout.
+// Guards against requests to old servers, which stop at once when an order is completed, and
+// against versions that are looked at for ever after a rollout.
 BOOST_AUTO_TEST_CASE(CompletedOrderEndsTheDivision) {
   RolloutFixture f;
   f.hear(f.grant());
   f.end(1);
+  BOOST_TEST((f.play(20) == Counts{{"v2", 20}}));
+  BOOST_TEST(buildRolloutReports(f.S, "n", f.Time).empty());
+  f.list({{"v2", 2}});
+  f.list({{"v1", 2}, {"v2", 2}});
   Counts got = f.play(40);
   BOOST_TEST(got["v1"] > 0);
   BOOST_TEST(got["v2"] > 0);
-  BOOST_TEST(buildRolloutReports(f.S, "n", f.Time).empty());
+  // Old servers that stay listed nevertheless, and a node that hears of the order when it is over.
+  RolloutFixture g;
+  g.hear(g.grant());
+  g.end(1);
+  g.Time.Steady += 10s;
+  BOOST_TEST(g.play(40)["v1"] > 0);
+  RolloutFixture late;
+  late.end(1);
+  BOOST_TEST(late.play(40)["v1"] > 0);
 }
 
 // Guards against a version whose trial was cut short by another order and that gets all requests.
@@ -357,9 +370,21 @@
   BOOST_TEST(choose(true, "").Server->Entry.Version == "v2");
   removeServer(index, "modelv2b");
   BOOST_TEST(choose(true, "modelv2a").PrefixSource->Entry.Id == "modelv2a");
+  // Nor with another old version when a stream is resumed.
+  f.list({{"v0", 1}, {"v1", 1}, {"v2", 2}});
+  removeServer(index, "modelv1a");
+  recordHolder(index, 1, "modelv0a");
+  SelectionCriteria criteria;
+  criteria.Service = "model";
+  criteria.Prompt = prompt;
+  criteria.Versions = VersionFilter{.Listed = VersionFilter::Kind::Only, .Version = "v1"};
+  const Choice resumed = chooseServer(f.S.Servers, criteria, f.Time, f.Rng);
+  BOOST_TEST(resumed.Server->Entry.Id == "modelv1a");
+  BOOST_TEST((resumed.PrefixSource == nullptr || resumed.PrefixSource == resumed.Server));
   // What the target's servers cache is not lost when they are the only ones.
   f.end(1);
-  BOOST_TEST(holdersOf(index, 1).size() == 2U);
+  BOOST_REQUIRE_EQUAL(holdersOf(index, 1).size(), 1U);
+  BOOST_TEST(holdersOf(index, 1)[0] == "modelv2a");
 }
 
 // Guards against old servers that stop while requests run on them.
--- a/packages/relay/detail/Versions.cpp
+++ b/packages/relay/detail/Versions.cpp
@@ -17,6 +17,13 @@
   use.CountedAt = rollout.Share.Seq;
 }
 
+/// Versions whose servers stopped after a completed order may be used again.
+void endStopping(ServiceRollout &rollout) {
+  for (const std::string &it : rollout.Stopping)
+    rollout.Excluded.erase(it);
+  rollout.Stopping.clear();
+}
+
 /// While the rollout is closing, nothing goes to the old servers any more. Requests that wait, and
 /// retries, go to the target, where they are counted.
 void leaveOld(ServiceRollout &rollout, ActiveRequest &request, const Now &now) {
@@ -61,6 +68,8 @@
   ServiceRollout *rollout = findRollout(state, request.Service);
   if (rollout == nullptr)
     return std::nullopt;
+  if (!rollout->Stopping.empty() && now.Steady >= rollout->StoppingUntil)
+    endStopping(*rollout);
   decide(*rollout, request, now, rng);
   VersionUse &use = request.Versions;
   const message::RolloutGrant &grant = rollout->Share.Grant;
