--- a/packages/relay/TroubledServersTest.cpp
+++ b/packages/relay/TroubledServersTest.cpp
@@ -238,6 +238,29 @@
   BOOST_TEST(f.only<CancelBackend>().Call == first.Call);
 }
 
+// Guards against servers that are gone and are left later than after half of the callers' patience
+// each, while another one can continue the stream.
+BOOST_AUTO_TEST_CASE(DarkServersAreLeftOneAfterTheOther) {
+  Fixture f;
+  Configuration config = configuration(2);
+  config.Routes[3].MaxAttempts = 3;
+  configure(f.S, std::make_shared<const Configuration>(config));
+  f.request("/resumed/x");
+  f.S.ActiveRequests.begin()->second.GiveUp = f.Time.Steady + 1h;
+  const CallBackend first = f.call();
+  f.head(first.Call, 200);
+  f.bytes(first.Call, "id: 1\ndata: a\n\n");
+  const Duration limit = detail::stallTimeout(f.S.Config->Routes[3]);
+  for (std::size_t left = 1; left <= 2; ++left) {
+    f.wait(limit);
+    BOOST_TEST(f.all<CallBackend>().size() == left);
+    f.wait(20ms);
+    BOOST_TEST(f.all<CallBackend>().size() == left + 1);
+    BOOST_TEST(f.all<CancelBackend>().size() == left);
+  }
+  BOOST_TEST(f.call().ResumeAfter == "1");
+}
+
 // Guards against a stream that breaks off because sound servers are silent for a moment, as when
 // they preempt it: the attempts, the servers or the retry budget were used up, and the node did not
 // wait for the server that it still had.
