balance, relay: servers of equal speed are chosen by expected time too

isUneven() goes, and with it its test; EqualServersAreServedNoWorse takes its place: equal servers in the model, three loads, three seeds, must be served no worse than by the rule before. One pass over the candidates: workOn() is looked up once per server, expectedWaitAt() shares the code.

balance_test and relay_test pass.

--- a/packages/balance/ComparisonTest.cpp
+++ b/packages/balance/ComparisonTest.cpp
@@ -33,6 +33,11 @@
   double ReportAge;
   /// Reports are lost from WarmUp on for this long.
   double Lost = 0;
+  /// Time factor of every fourth server.
+  double Slow = 2;
+  /// Requests per node and second.
+  double Rate = RequestsPerNode;
+  unsigned Seed = 7;
 };
 
 struct Job {
@@ -92,7 +97,7 @@
 struct Play {
   Scenario S;
   const Rule &Choose;
-  Random Rng{7};
+  Random Rng{S.Seed};
   std::vector<Server> Servers{S.Servers};
   std::vector<Prefix> Prefixes{4 * S.Servers};
   std::vector<double> Totals = std::vector<double>(S.Servers);
@@ -121,7 +126,7 @@
     q.Own = uniform(200, 1000);
     q.Shared = prefix.Tokens;
     q.IsKnown = !prefix.Holders.empty();
-    const double others = RequestsPerNode * (S.Nodes - 1) * MeanOwnTokens;
+    const double others = S.Rate * (S.Nodes - 1) * MeanOwnTokens;
     q.Ahead = makeOutlook(span(age), unitsPerMs(ReadPrior), others);
     for (unsigned s = 0; s < S.Servers; ++s) {
       const std::size_t own = std::size_t{node} * S.Servers + s;
@@ -232,7 +237,7 @@
 
   Result run() {
     for (unsigned s = 0; s < S.Servers; ++s)
-      Servers[s].Slow = s % 4 == 0 ? 2 : 1;
+      Servers[s].Slow = s % 4 == 0 ? S.Slow : 1;
     std::vector<double> weights;
     for (Prefix &it : Prefixes) {
       weights.push_back(std::pow(double(weights.size()) + 3, -0.9));
@@ -245,7 +250,7 @@
       Servers[first].Cache.push_back(static_cast<unsigned>(weights.size() - 1));
     }
     std::discrete_distribution<unsigned> pick(weights.begin(), weights.end());
-    std::poisson_distribution<unsigned> arrivals(Tick * RequestsPerNode * S.Nodes);
+    std::poisson_distribution<unsigned> arrivals(Tick * S.Rate * S.Nodes);
     std::uniform_int_distribution<unsigned> node(0, S.Nodes - 1);
     double next = 0;
     for (double now = 0; now < End; now += Tick) {
@@ -414,4 +419,29 @@
   }
 }
 
+// Guards against a rule that serves uneven servers at the expense of equal ones, which is how an
+// error of the estimated speeds would show, and against constants that hold for one seed only.
+BOOST_AUTO_TEST_CASE(EqualServersAreServedNoWorse) {
+  std::vector<Scenario> scenarios;
+  for (const double rate : {28.0, 36.0, 42.0}) {
+    scenarios.push_back({.Nodes = 9, .Servers = 9, .ReportAge = 0.3, .Slow = 1, .Rate = rate});
+    scenarios.push_back({.Nodes = 63, .Servers = 60, .ReportAge = 0.3, .Slow = 1, .Rate = rate});
+  }
+  for (const unsigned seed : {11U, 12U})
+    for (const double slow : {1.0, 2.0})
+      scenarios.push_back(
+          {.Nodes = 63, .Servers = 60, .ReportAge = 0.3, .Slow = slow, .Rate = 36, .Seed = seed});
+  std::puts("nodes rate slow seed  p99 ms before, now   in target before, now");
+  for (const Scenario &s : scenarios) {
+    const Result before = Play{s, Rules.front().Choose}.run();
+    const Result now = Play{s, Rules.back().Choose}.run();
+    std::printf("%5u %4.0f %4.0f %4u %10.0f %8.0f %12.4f %8.4f\n", s.Nodes, s.Rate, s.Slow, s.Seed,
+                before.P99 * 1000, now.P99 * 1000, before.InTarget, now.InTarget);
+    // Few nodes hardly overrun a server: there the rules differ by chance only.
+    BOOST_TEST(now.InTarget >= before.InTarget);
+    BOOST_TEST(now.P99 <= 1.1 * before.P99);
+    BOOST_TEST(now.ReadAgain <= before.ReadAgain + 1);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/balance/Speed.h
+++ b/packages/balance/Speed.h
@@ -11,7 +11,6 @@
 
 #include <cstdint>
 #include <optional>
-#include <span>
 
 namespace chervil::balance {
 
@@ -73,15 +72,6 @@
 /// Returns the estimate that follows from decayed evidence and the prior.
 SpeedEstimate estimateSpeed(const SpeedEvidence &evidence);
 
-/// A server counts as slow if it takes this many times as long as the average of its service, by at
-/// least two standard errors. Single slow steps of equal servers stay below it.
-inline constexpr double SlowFactor = 1.4;
-/// Part of the servers that must be slow for their service to count as uneven.
-inline constexpr double UnevenFraction = 0.1;
-
-/// Returns true if the servers of a service differ in speed, so that the choice should weigh it.
-bool isUneven(std::span<const SpeedEstimate> servers);
-
 EncodedSpeed encodeSpeed(const SpeedEvidence &evidence);
 
 /// Adds the evidence of other nodes: the sums of their weights, and of their factors times weights.
--- a/packages/balance/SpeedTest.cpp
+++ b/packages/balance/SpeedTest.cpp
@@ -1,7 +1,6 @@
 #include "balance/Speed.h"
 
 #include <boost/test/unit_test.hpp>
-#include <vector>
 
 using namespace chervil;
 using namespace chervil::balance;
@@ -72,21 +71,4 @@
   BOOST_TEST(encodeSpeed({}).Weight == 0);
 }
 
-// Guards against equal servers that are taken for uneven because of single slow steps, and against
-// slow ones that are not recognised.
-BOOST_AUTO_TEST_CASE(UnevenServersAreRecognised) {
-  const SpeedEstimate average{1, 0.1};
-  const SpeedEstimate slow{2, 0.15};
-  const SpeedEstimate uncertain{2, 0.6};
-  BOOST_TEST(!isUneven({}));
-  std::vector<SpeedEstimate> servers(20, average);
-  BOOST_TEST(!isUneven(servers));
-  servers[0] = slow;
-  BOOST_TEST(!isUneven(servers));
-  servers[1] = uncertain;
-  BOOST_TEST(!isUneven(servers));
-  servers[1] = slow;
-  BOOST_TEST(isUneven(servers));
-}
-
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/relay/Backends.cpp
+++ b/packages/relay/Backends.cpp
@@ -175,24 +175,25 @@
   return nullptr;
 }
 
-/// Prompt tokens, or their equivalent in running requests, that delay the first token of a new
-/// request.
-balance::ServerLoad loadFor(const Backends &backends, const Backend &it, const PeerWork &others,
-                            bool areReportsLost) {
+balance::SpeedEstimate estimateOf(const Backend &it, const PeerWork &others, const Now &now) {
+  return balance::estimateSpeed(balance::withPeers(balance::decayed(it.Speed, now),
+                                                   others.SpeedFactors, others.SpeedWeights));
+}
+
+/// Load of a server in prompt tokens, or their equivalent in running requests, and its speed.
+balance::ServerLoad loadAt(const Backends &backends, const Backend &it, bool areReportsLost,
+                           const Now &now) {
   const double perRunning = TokensPerRunningRequest * ReferenceSlots / std::max(1U, it.Entry.Slots);
+  const PeerWork others = workOn(backends.Peers, it.Entry.Id);
   balance::ServerLoad out;
   out.OwnTokens = it.PendingTokens + perRunning * it.Running;
   out.OtherTokens = areReportsLost
                         ? balance::extrapolateOthers(out.OwnTokens, backends.OtherNodes)
                         : backends.PeerScale * (others.PendingTokens + perRunning * others.Running);
+  out.Speed = estimateOf(it, others, now);
   return out;
 }
 
-balance::SpeedEstimate estimateOf(const Backend &it, const PeerWork &others, const Now &now) {
-  return balance::estimateSpeed(balance::withPeers(balance::decayed(it.Speed, now),
-                                                   others.SpeedFactors, others.SpeedWeights));
-}
-
 /// True if the other nodes reported not long ago and do no more.
 bool areReportsLost(const Backends &backends, const Now &now) {
   return backends.Peers.Reports.empty() && backends.Peers.LastAt != TimePoint{} &&
@@ -240,27 +241,14 @@
   const double own = criteria.Prompt.back().Tokens;
   const auto shared = static_cast<double>(sharedPrefixTokens(criteria.Prompt));
   const double preference = std::min(HolderPreferenceTokens, shared);
-  std::vector<balance::SpeedEstimate> speeds;
-  speeds.reserve(from.size());
-  for (const Backend *it : from)
-    speeds.push_back(estimateOf(*it, workOn(backends.Peers, it->Entry.Id), now));
-  // Servers of equal speed keep the rule of the lowest sum, so that deployments with such servers
-  // are served as before.
-  const bool isUneven = balance::isUneven(speeds);
-  const balance::Outlook outlook =
-      isUneven ? outlookOf(backends, criteria, now) : balance::Outlook{};
-  const bool isLost = areReportsLost(backends, now);
+  const balance::Outlook outlook = outlookOf(backends, criteria, now);
+  const bool areLost = areReportsLost(backends, now);
   std::vector<balance::Candidate> candidates;
   std::vector<balance::ServerLoad> loads;
   candidates.reserve(from.size());
   loads.reserve(from.size());
-  for (std::size_t i = 0; i < from.size(); ++i) {
-    const Backend *it = from[i];
-    const PeerWork others = workOn(backends.Peers, it->Entry.Id);
-    balance::ServerLoad &load =
-        loads.emplace_back(loadFor(backends, *it, others, isLost && isUneven));
-    if (isUneven)
-      load.Speed = speeds[i];
+  for (const Backend *it : from) {
+    const balance::ServerLoad &load = loads.emplace_back(loadAt(backends, *it, areLost, now));
     const std::size_t rank = static_cast<std::size_t>(std::ranges::find(homes, it) - homes.begin());
     const double discount = balance::homeDiscount(rank, outlook);
     const bool isHolder = hasPrefix(it);
@@ -524,10 +512,7 @@
 }
 
 double expectedWaitAt(const Backends &backends, const Backend &server, const Now &now) {
-  const PeerWork others = workOn(backends.Peers, server.Entry.Id);
-  balance::ServerLoad load = loadFor(backends, server, others, areReportsLost(backends, now));
-  load.Speed = estimateOf(server, others, now);
-  return balance::expectedWait(load);
+  return balance::expectedWait(loadAt(backends, server, areReportsLost(backends, now), now));
 }
 
 void onRequestEnded(Backends &backends, const std::string &id, double pendingTokens,
