relay: an earlier order does not open the next one

A node may read a new order in the store before the holder does. A notice of the holder about the order before, already completed, then ended the division of versions, and servers of the new target got requests without a grant. The target of the newer order is now excluded until its order is heard again. Broken answers that wait for a verdict are bounded, as they are judged only with reports.

--- a/packages/relay/Rollouts.cpp
+++ b/packages/relay/Rollouts.cpp
@@ -51,9 +51,11 @@
 void replaceOrder(State &state, ServiceRollout &rollout, const message::RolloutGrant &grant) {
   const message::RolloutGrant &known = rollout.Share.Grant;
   // Without a server of a third version the target was in force before: this node has not heard
-  // that its rollout was completed.
+  // that its rollout was completed. A holder that has not read the newer order yet, or a store that
+  // is back from an older copy, brings an earlier order, whose target may be in force.
+  const std::string &next = grant.Order < known.Order ? known.Target : grant.Target;
   if (detail::isOpen(rollout) && !rollout.Ignored && known.Target != grant.Target &&
-      hasOtherVersion(state, rollout, grant.Service, known.Target, grant.Target))
+      hasOtherVersion(state, rollout, grant.Service, known.Target, next))
     rollout.Excluded.insert(known.Target);
   rollout.Excluded.erase(grant.Target);
   rollout.Stopping.erase(grant.Target);
--- a/packages/relay/RolloutsTest.cpp
+++ b/packages/relay/RolloutsTest.cpp
@@ -15,7 +15,7 @@
 /// Begins a resumable stream at the version that is allowed.
 CallBackend beginStream(RolloutFixture &f, const char *version) {
   const bool target = std::string(version) == "v2";
-  const CallBackend call = target ? f.sendToTarget("/resumed/x") : f.sendToOld("/resumed/x");
+  CallBackend call = target ? f.sendToTarget("/resumed/x") : f.sendToOld("/resumed/x");
   f.head(call.Call, 200);
   f.bytes(call.Call, Event);
   f.Out.clear();
@@ -211,6 +211,22 @@
   BOOST_TEST((f.play(5) == Counts{{"v1", 4}, {"v2", 1}}));
 }
 
+// Guards against a target that gets all requests because a holder that has not read its order yet
+// repeats how the order before ended.
+BOOST_AUTO_TEST_CASE(EarlierOrderDoesNotOpenTheNext) {
+  RolloutFixture f;
+  f.list({{"v2", 2}, {"v3", 2}});
+  message::RolloutGrant read = f.grant("v3", 6);
+  read.Token = 0;
+  f.hear(read);
+  f.end(1, "v2", 5);
+  BOOST_TEST((f.play(20) == Counts{{"v2", 20}}));
+  f.hear(f.grant("v3", 6));
+  BOOST_TEST((f.play(20) == Counts{{"v2", 20}}));
+  f.allow(1, f.grant("v3", 6));
+  BOOST_TEST((f.play(20) == Counts{{"v2", 19}, {"v3", 1}}));
+}
+
 // Guards against a second chance for a bad target at the cost of the caller.
 BOOST_AUTO_TEST_CASE(RetryAfterABadResponseGoesToAnOldServer) {
   for (int i = 0; i < 10; ++i) {
--- a/packages/relay/detail/Evidence.cpp
+++ b/packages/relay/detail/Evidence.cpp
@@ -24,6 +24,8 @@
 // A server that crashed refuses connections, or its entry lapses, within this time. A broken answer
 // is evidence after it, which leaves most of the 5 s in which a bad version must be left.
 constexpr Duration CrashShowsTime = 1500ms;
+// Broken answers that are examined at the same time. More show an outage; they are no evidence.
+constexpr std::size_t MaxBroken = 200;
 
 double millis(Duration time) { return std::chrono::duration<double, std::milli>(time).count(); }
 
@@ -209,7 +211,7 @@
 void noteBroken(Context &ctx, ActiveRequest &request) {
   ServiceRollout *rollout = onFailure(ctx, request);
   const Backend *server = find(ctx.S.Servers, request.Backend);
-  if (rollout == nullptr || server == nullptr)
+  if (rollout == nullptr || server == nullptr || rollout->Broken.size() >= MaxBroken)
     return;
   BrokenAnswer it;
   it.Request = request.Id;
