http, limits: large requests are read behind other work

Clients that send large bodies as fast as they are read took the processor of a node with a part of a core: a read of 64 KiB, above all in tiny chunks, costs as much as several ordinary requests. Requests over 128 KiB with their framing, and what is thrown away after a refusal, are now read when the loop has nothing else to do, or else with 5% of its processor time (limits::WorkShare).

--- a/packages/http/Server.cpp
+++ b/packages/http/Server.cpp
@@ -154,11 +154,13 @@
   if (c.State == Phase::Idle) {
     c.State = Phase::Reading;
     c.Started = c.Since = now();
+    c.RequestWireBytes = 0;
     c.Reader = std::make_unique<RequestReader>(server.Options.Limits.Read);
   }
   const bool hadHead = c.Reader->State != ReadState::Head;
   const std::size_t used = feed(*c.Reader, c.In);
   c.In.erase(0, used);
+  c.RequestWireBytes += used;
   if (c.Reader->State == ReadState::Failed) {
     reject(c, c.Reader->ErrorStatus);
     return;
@@ -222,7 +224,7 @@
     else if (c->State == Phase::Serving && hasOutput(*c) &&
              at - c->Wrote > server.Options.Limits.IdleTimeout)
       stalled.push_back(c);
-    else if ((waits && age > server.Options.Limits.IdleTimeout) ||
+    else if ((waits && !c->BulkQueued && age > server.Options.Limits.IdleTimeout) ||
              (c->State == Phase::Lingering && age > LingerTime))
       late.push_back(c);
   }
@@ -267,6 +269,7 @@
 
 void drop(Connection &c) {
   Server &server = *c.Owner;
+  forgetBulkRead(c);
   ev_io_stop(server.Loop->Raw.get(), &c.ReadWatcher);
   ev_io_stop(server.Loop->Raw.get(), &c.WriteWatcher);
   close(c.Fd);
@@ -376,6 +379,7 @@
       [](struct ev_loop *, ev_io *w, int) { acceptWaiting(*static_cast<Server *>(w->data)); }, *fd,
       EV_READ);
   server->Accept.data = server.get();
+  initBulkReads(*server);
   ev_io_start(loop.Raw.get(), &server->Accept);
   server->Sweep = net::every(timers, SweepPeriod, [raw = server.get()] { sweep(*raw); });
   return server;
--- a/packages/http/ServerAccept.cpp
+++ b/packages/http/ServerAccept.cpp
@@ -58,7 +58,7 @@
     it->Since = now();
     ev_io_init(
         &it->ReadWatcher,
-        [](struct ev_loop *, ev_io *w, int) { onReadable(*static_cast<Connection *>(w->data)); },
+        [](struct ev_loop *, ev_io *w, int) { onReadEvent(*static_cast<Connection *>(w->data)); },
         fd, EV_READ);
     ev_io_init(
         &it->WriteWatcher,
--- a/packages/http/ServerConnection.h
+++ b/packages/http/ServerConnection.h
@@ -46,10 +46,14 @@
   /// What the memory budget counts for this connection.
   std::uint64_t ChargedRequest = 0;
   std::uint64_t ChargedResponse = 0;
+  /// Bytes of the request that is being read, with its framing.
+  std::uint64_t RequestWireBytes = 0;
   bool CloseAfter = false;
   bool Answered = false;
   bool Broken = false;
   bool ReadPaused = false;
+  /// Waits in Server::BulkReads for its turn to be read.
+  bool BulkQueued = false;
 };
 
 inline bool hasOutput(const Connection &c) { return c.OutAt < c.Out.size(); }
--- a/packages/http/ServerDetail.h
+++ b/packages/http/ServerDetail.h
@@ -4,7 +4,9 @@
 
 #include "http/Server.h"
 #include "http/ServerConnection.h"
+#include "limits/WorkShare.h"
 
+#include <deque>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -25,6 +27,12 @@
   std::unordered_map<std::uint64_t, detail::Connection *> Requests;
   std::unordered_map<std::string, std::size_t> ConnectionsByAddress;
   bool AcceptPaused = false;
+  /// Connections whose large requests wait to be read, the longest waiting first.
+  std::deque<detail::Connection *> BulkReads;
+  limits::WorkShare BulkShare;
+  /// Active while BulkReads is not empty: reads when there is no other event, or within BulkShare.
+  ev_idle BulkIdle{};
+  ev_check BulkCheck{};
 };
 
 namespace detail {
@@ -49,6 +57,13 @@
 /// Accepts again after a pause.
 void resumeAccepting(Server &server);
 
+// ServerBulkReads.cpp
+void initBulkReads(Server &server);
+/// The socket of the connection has bytes: reads them, now or when it is the connection's turn.
+void onReadEvent(Connection &c);
+/// The connection is going to be removed.
+void forgetBulkRead(Connection &c);
+
 // ServerEviction.cpp
 /// Frees memory until the budget holds, or nothing may be evicted any more.
 void evict(Server &server);
--- a/packages/http/ServerEviction.cpp
+++ b/packages/http/ServerEviction.cpp
@@ -11,7 +11,8 @@
 /// it is not to be evicted.
 std::optional<limits::MemoryHolder> evictable(const Connection &c) {
   if (c.State == Phase::Reading)
-    return limits::MemoryHolder{c.ChargedRequest, c.Started, c.Since, false};
+    // A client whose bytes wait here has not stalled.
+    return limits::MemoryHolder{c.ChargedRequest, c.Started, c.BulkQueued ? now() : c.Since, false};
   if (c.State == Phase::Serving && hasOutput(c))
     return limits::MemoryHolder{c.ChargedRequest + c.ChargedResponse, c.Started, c.Wrote, true};
   return std::nullopt;
@@ -47,7 +48,7 @@
     drop(c);
     return;
   }
-  const bool stalled = now() - c.Since >= limits::StalledRequestTime;
+  const bool stalled = !c.BulkQueued && now() - c.Since >= limits::StalledRequestTime;
   rejectForMemory(c, stalled ? Shed::Stalled : Shed::NoMemory);
 }
 
--- a/packages/http/ServerTest.cpp
+++ b/packages/http/ServerTest.cpp
@@ -1,6 +1,8 @@
 #include "http/TestNet.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <utility>
 
 using namespace chervil;
 using namespace chervil::http;
@@ -279,4 +281,33 @@
   close(fd);
 }
 
+// Guards against large bodies that are lost because they are read behind other work, and against a
+// connection that is gone when its turn comes.
+BOOST_AUTO_TEST_CASE(LargeBodiesAreReadBehindOtherWork) {
+  Fixture f;
+  const std::string body(1 << 20, 'b');
+  const std::string head =
+      "POST /x HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+  const int large = connectPlain(port(*f.It));
+  const int gone = connectPlain(port(*f.It));
+  const int small = connectPlain(port(*f.It));
+  std::string left = head + body;
+  sendText(gone, head + std::string(300'000, 'b'));
+  bool isGone = false;
+  BOOST_TEST(f.runUntil([&] {
+    const ssize_t n = ::send(large, left.data(), left.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    left.erase(0, n > 0 ? static_cast<std::size_t>(n) : 0);
+    if (f.Requests.empty())
+      sendText(small, Get);
+    if (left.empty() && !std::exchange(isGone, true))
+      close(gone);
+    return openConnections(*f.It) == 2U &&
+           std::ranges::any_of(f.Requests, [&](const Request &it) { return it.Body == body; });
+  }));
+  BOOST_TEST(f.Requests[0].Head.Target == "/x");
+  BOOST_TEST(f.Requests[0].Body.empty());
+  close(large);
+  close(small);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
