--- a/packages/http/Server.cpp
+++ b/packages/http/Server.cpp
@@ -228,14 +228,18 @@
              (c->State == Phase::Lingering && age > LingerTime))
       late.push_back(c);
   }
+  // The events of one connection may close others.
+  const auto isOpen = [&](Connection *c) { return server.Connections.contains(c); };
   for (Connection *c : late)
-    drop(*c);
-  for (Connection *c : stalled) {
-    noteShed(*c, Shed::SlowReader);
-    drop(*c);
-  }
+    if (isOpen(c))
+      drop(*c);
+  for (Connection *c : stalled)
+    if (isOpen(c)) {
+      noteShed(*c, Shed::SlowReader);
+      drop(*c);
+    }
   for (Connection *c : slow)
-    if (server.Connections.contains(c))
+    if (isOpen(c))
       reject(*c, 408);
   evict(server);
   resumeAccepting(server);
--- a/packages/http/ServerTest.cpp
+++ b/packages/http/ServerTest.cpp
@@ -310,4 +310,37 @@
   close(small);
 }
 
+// Guards against a sweep that touches a connection which the events of another one have closed.
+BOOST_AUTO_TEST_CASE(EventsOfASweepMayCloseOthers) {
+  Net net;
+  ServerPtr server;
+  std::vector<std::uint64_t> ids;
+  int gone = 0;
+  ServerOptions options;
+  options.Address = "127.0.0.1:0";
+  options.Limits.IdleTimeout = 100ms;
+  options.MaxPendingStreamBytes = std::size_t{64} << 20U;
+  server = std::move(*startServer(net.EventLoop, net.Timers, options,
+                                  {.OnRequest = [&](Request &&r) { ids.push_back(r.Id); },
+                                   .OnGone =
+                                       [&](std::uint64_t) {
+                                         ++gone;
+                                         for (const std::uint64_t id : ids)
+                                           abort(*server, id);
+                                       }}));
+  std::vector<int> fds;
+  for (int i = 0; i < 4; ++i) {
+    fds.push_back(connectPlain(port(*server)));
+    sendText(fds.back(), Get);
+  }
+  BOOST_REQUIRE(net.runUntil([&] { return ids.size() == fds.size(); }));
+  // More than the sockets take, so that all of them are overdue in the same sweep.
+  for (const std::uint64_t id : ids)
+    beginStream(*server, id, {.Body = std::string(std::size_t{16} << 20U, 'x')});
+  BOOST_TEST(net.runUntil([&] { return openConnections(*server) == 0; }));
+  BOOST_TEST(gone == 1);
+  for (const int fd : fds)
+    close(fd);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
