--- a/packages/http/ServerTest.cpp
+++ b/packages/http/ServerTest.cpp
@@ -1,6 +1,8 @@
 #include "http/TestNet.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <utility>
 
 using namespace chervil;
 using namespace chervil::http;
@@ -279,4 +281,66 @@
   close(fd);
 }
 
+// Guards against large bodies that are lost because they are read behind other work, and against a
+// connection that is gone when its turn comes.
+BOOST_AUTO_TEST_CASE(LargeBodiesAreReadBehindOtherWork) {
+  Fixture f;
+  const std::string body(1 << 20, 'b');
+  const std::string head =
+      "POST /x HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+  const int large = connectPlain(port(*f.It));
+  const int gone = connectPlain(port(*f.It));
+  const int small = connectPlain(port(*f.It));
+  std::string left = head + body;
+  sendText(gone, head + std::string(300'000, 'b'));
+  bool isGone = false;
+  BOOST_TEST(f.runUntil([&] {
+    const ssize_t n = ::send(large, left.data(), left.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    left.erase(0, n > 0 ? static_cast<std::size_t>(n) : 0);
+    if (f.Requests.empty())
+      sendText(small, Get);
+    if (left.empty() && !std::exchange(isGone, true))
+      close(gone);
+    return openConnections(*f.It) == 2U &&
+           std::ranges::any_of(f.Requests, [&](const Request &it) { return it.Body == body; });
+  }));
+  BOOST_TEST(f.Requests[0].Head.Target == "/x");
+  BOOST_TEST(f.Requests[0].Body.empty());
+  close(large);
+  close(small);
+}
+
+// Guards against a sweep that touches a connection which the events of another one have closed.
+BOOST_AUTO_TEST_CASE(EventsOfASweepMayCloseOthers) {
+  Net net;
+  ServerPtr server;
+  std::vector<std::uint64_t> ids;
+  int gone = 0;
+  ServerOptions options;
+  options.Address = "127.0.0.1:0";
+  options.Limits.IdleTimeout = 100ms;
+  options.MaxPendingStreamBytes = std::size_t{64} << 20U;
+  server = std::move(*startServer(net.EventLoop, net.Timers, options,
+                                  {.OnRequest = [&](Request &&r) { ids.push_back(r.Id); },
+                                   .OnGone =
+                                       [&](std::uint64_t) {
+                                         ++gone;
+                                         for (const std::uint64_t id : ids)
+                                           abort(*server, id);
+                                       }}));
+  std::vector<int> fds;
+  for (int i = 0; i < 4; ++i) {
+    fds.push_back(connectPlain(port(*server)));
+    sendText(fds.back(), Get);
+  }
+  BOOST_REQUIRE(net.runUntil([&] { return ids.size() == fds.size(); }));
+  // More than the sockets take, so that all of them are overdue in the same sweep.
+  for (const std::uint64_t id : ids)
+    beginStream(*server, id, {.Body = std::string(std::size_t{16} << 20U, 'x')});
+  BOOST_TEST(net.runUntil([&] { return openConnections(*server) == 0; }));
+  BOOST_TEST(gone == 1);
+  for (const int fd : fds)
+    close(fd);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
