settings: bounds of rollouts

A deployment without rollouts leaves the placeholders empty, which keeps the defaults; for rollback_time only the unit is left then, so that an override that consists of a unit counts as empty.

--- a/packages/settings/NodeSettings.h
+++ b/packages/settings/NodeSettings.h
@@ -113,6 +113,10 @@
   std::uint32_t MaxDescriptors = 0;
   std::uint32_t ReclaimablePercent = 0;
   std::uint32_t NeededPercent = 0;
+  /// Bound on the requests of a bad version; rollouts are off if the share is 0.
+  double ExposureShare = 0;
+  std::uint32_t ExposureSlack = 0;
+  std::chrono::milliseconds RollbackTime{0};
 };
 
 struct TestingSection {
--- a/packages/settings/ParseNodeSettings.cpp
+++ b/packages/settings/ParseNodeSettings.cpp
@@ -180,6 +180,11 @@
   return 1;
 }
 
+/// A placeholder without a value leaves nothing, or only the unit that follows it.
+bool isLeftOut(const SettingKey &key, std::string_view value) {
+  return value.empty() || (key.Type == SettingType::Duration && (value == "ms" || value == "s"));
+}
+
 /// Takes a value given on the command line.
 void applyOverride(Pass &pass, const std::string &text) {
   const std::size_t dot = text.find('.');
@@ -187,7 +192,8 @@
   const bool wellFormed = dot != std::string::npos && equals != std::string::npos && dot < equals;
   const std::string section = wellFormed ? text.substr(0, dot) : "";
   const std::string name = wellFormed ? text.substr(dot + 1, equals - dot - 1) : "";
-  if (findKey(section, name) == nullptr) {
+  const SettingKey *key = findKey(section, name);
+  if (key == nullptr) {
     pass.Errors.push_back({.File = "--set",
                            .Line = 0,
                            .Section = printable(section),
@@ -198,7 +204,7 @@
     return;
   }
   const std::string value = text.substr(equals + 1);
-  if (!value.empty())
+  if (!isLeftOut(*key, value))
     pass.Values[{section, name}] = Entry{0, value};
 }
 
--- a/packages/settings/SettingKey.h
+++ b/packages/settings/SettingKey.h
@@ -29,13 +29,15 @@
   Boolean,
   /// 0..100, with or without '%'.
   Percent,
+  /// Decimal number, such as 0.1.
+  Fraction,
   /// info, warning or error.
   LogLevel,
 };
 
 /// The member of NodeSettings that a key fills.
 using SettingTarget = std::variant<std::string *, std::vector<std::string> *, std::uint32_t *,
-                                   std::uint64_t *, std::chrono::milliseconds *, bool *>;
+                                   std::uint64_t *, std::chrono::milliseconds *, bool *, double *>;
 
 struct SettingKey {
   const char *Section;
--- a/packages/settings/SettingKeys.cpp
+++ b/packages/settings/SettingKeys.cpp
@@ -222,6 +222,16 @@
      "Backend servers that the load needs, as part of the bounds of all data centres, until the "
      "demand was measured.",
      at<&S::Edge, &EdgeSection::NeededPercent>},
+    {"edge", "exposure_share", Fraction, "0", 0, 1,
+     "Part of the requests of a service that a version which turns out to be bad may get during a "
+     "rollout; 0 turns rollouts off.",
+     at<&S::Edge, &EdgeSection::ExposureShare>},
+    {"edge", "exposure_slack", Integer, "0", 0, 1000000,
+     "Requests that such a version may get besides that part.",
+     at<&S::Edge, &EdgeSection::ExposureSlack>},
+    {"edge", "rollback_time", Duration, "5s", 100 * Ms, Hour,
+     "Time after the 50th bad response of a version within which it must get no further requests.",
+     at<&S::Edge, &EdgeSection::RollbackTime>},
 
     {"testing", "fatal_invariants", Boolean, "false", 0, 0,
      "Ends the process when an internal invariant is violated, for test runs.",
@@ -278,6 +288,8 @@
     return "true or false";
   case Percent:
     return "percentage " + range(key.Min, key.Max);
+  case Fraction:
+    return "decimal number " + range(key.Min, key.Max);
   case LogLevel:
     return "info, warning or error";
   }
--- a/packages/settings/SettingValue.cpp
+++ b/packages/settings/SettingValue.cpp
@@ -40,6 +40,14 @@
   return std::nullopt;
 }
 
+/// Nothing for text that is not a decimal number as a whole.
+std::optional<double> decimal(std::string_view text) {
+  double value = 0;
+  const char *end = text.data() + text.size();
+  const auto [last, ec] = std::from_chars(text.data(), end, value);
+  return ec == std::errc() && last == end ? std::optional(value) : std::nullopt;
+}
+
 bool isAddress(std::string_view text, std::uint64_t minPort) {
   for (int i = 0; i < 4; ++i) {
     const auto it = leadingNumber(text);
@@ -97,6 +105,13 @@
   return assign(key, to, static_cast<std::uint32_t>(*n));
 }
 
+bool storeDecimal(const SettingKey &key, std::optional<double> value, NodeSettings &to) {
+  // Also false for a value that is not a number.
+  const bool isInRange =
+      value && *value >= static_cast<double>(key.Min) && *value <= static_cast<double>(key.Max);
+  return isInRange && assign(key, to, *value);
+}
+
 bool storeList(const SettingKey &key, std::string_view text, NodeSettings &to) {
   std::vector<std::string> items = split(text);
   return inRange(key, items.size()) &&
@@ -144,6 +159,8 @@
   case SettingType::Percent:
     return storeNumber(key, number(text.substr(0, text.size() - (text.ends_with('%') ? 1 : 0))),
                        to);
+  case SettingType::Fraction:
+    return storeDecimal(key, decimal(text), to);
   case SettingType::Size:
     return storeNumber(key, withUnit(text, SizeUnits), to);
   case SettingType::Duration:
--- a/packages/settings/SettingsTest.cpp
+++ b/packages/settings/SettingsTest.cpp
@@ -271,8 +271,15 @@
   BOOST_TEST(parse({"limits.floor_percent=30"})->Limits.FloorPercent == 30U);
   BOOST_TEST(parse({"limits.floor_percent="})->Limits.FloorPercent == 10U);
   BOOST_TEST(parse({"edge.stop_time=9s"})->Edge.StopTime.count() == 9000);
+  BOOST_TEST(parse({"edge.exposure_share=0.1"})->Edge.ExposureShare == 0.1);
+  BOOST_TEST(parse({"edge.exposure_share="})->Edge.ExposureShare == 0);
+  BOOST_TEST(parse({"edge.exposure_slack=50"})->Edge.ExposureSlack == 50U);
+  BOOST_TEST(parse({"edge.rollback_time=7000ms"})->Edge.RollbackTime.count() == 7000);
+  BOOST_TEST(parse({"edge.rollback_time=ms"})->Edge.RollbackTime.count() == 5000);
   for (const char *bad :
-       {"limits.floor_percent=x", "limits.none=1", "floor_percent=1", "limits.a", "=", ""})
+       {"limits.floor_percent=x", "limits.none=1", "floor_percent=1", "limits.a", "=", "",
+        "edge.exposure_share=1.1", "edge.exposure_share=-0.1", "edge.exposure_share=nan",
+        "edge.exposure_share=10%", "edge.exposure_share=0,1", "edge.rollback_time=x"})
     BOOST_TEST(!parse({bad}).has_value(), bad);
 }
 
