daemon: rollouts of versions by the holder of the duty

Cause: orders in the store were not read, and package rollout was not used.

Change: a node reads orders from its copy of op/, tells the others once and reports to the holder of the duty while an order is open. The holder reads status and mark once, conducts one controller per order, answers reports with grants, notifies nodes that do not report and writes status and mark on condition of its key, of the order and of the item as read. A write without an answer, or with a refused condition, is followed by reading the item again. Controllers go with the duty, the order or an era of the store. A holder that takes over a rollout takes no step until the nodes have reported or 0.6 s have passed: late in an order it would revert a good version for lack of evidence. It takes none in `waiting` while entries may be missing after an outage of the store, because the target would pass for the version in force.

--- a/packages/daemon/edge/DutyDetail.h
+++ b/packages/daemon/edge/DutyDetail.h
@@ -35,6 +35,9 @@
 /// (EdgeOrders.cpp).
 void tickOrders(Edge &edge);
 
+/// Conducts rollouts of versions while this node holds the duty (EdgeRolloutHolder.cpp).
+void tickRollouts(Edge &edge);
+
 } // namespace chervil::daemon::detail
 
 #endif
--- a/packages/daemon/edge/Edge.cpp
+++ b/packages/daemon/edge/Edge.cpp
@@ -50,6 +50,7 @@
   options.RetryWindow = settings.Edge.RetryWindow;
   options.MaxAnswerBytes = settings.Edge.MaxAnswerBytes;
   options.MaxCollectedBytes = settings.Edge.MaxCollectedBytes;
+  options.Rollouts = settings.Edge.ExposureShare > 0 && !settings.Edge.DutyAddress.empty();
   return options;
 }
 
@@ -137,6 +138,7 @@
     detail::handle(edge, [&edge](relay::Effects &out, const Now &now) {
       relay::tick(edge.Relay, out, now, edge.Rng);
     });
+    detail::tickRolloutReports(edge);
   });
   net::every(edge.Timers, SlowTick, [&edge] { slowTick(edge); });
   net::every(edge.Timers, SettingsPeriod, [&edge] { reloadSettings(edge); });
@@ -183,6 +185,7 @@
   if (Result<void> ok = detail::startServers(edge); !ok)
     return ok;
   startTimers(edge);
+  detail::checkRolloutSettings(edge);
   detail::logLine(edge, "node", "started",
                   {{"callers", edge.Settings.Node.CallerListen},
                    {"data_centre", edge.Settings.Node.DataCentre}});
@@ -249,6 +252,7 @@
   setGauge(metrics, "backend_servers", static_cast<double>(edge.Relay.Servers.Servers.size()));
   setEstimates(metrics, edge.Relay.Servers, net::readNow());
   setGauge(metrics, "holds_duty", edge.ActsAsHolder ? 1 : 0);
+  detail::setRolloutGauges(edge);
   const std::uint64_t version = edge.Relay.Config == nullptr ? 0 : edge.Relay.Config->Version;
   setGauge(metrics, "configuration_version", static_cast<double>(version));
   const http::ClientCounters &calls = http::counters(*edge.Backends);
--- a/packages/daemon/edge/Edge.h
+++ b/packages/daemon/edge/Edge.h
@@ -10,6 +10,7 @@
 #include "base/Error.h"
 #include "config/Store.h"
 #include "daemon/Metrics.h"
+#include "daemon/edge/RolloutState.h"
 #include "daemon/edge/StructuredLog.h"
 #include "duty/JumpTolerantClock.h"
 #include "duty/Lease.h"
@@ -128,6 +129,7 @@
   /// Orders of backend servers by service, while this node holds the duty.
   std::map<std::string, fleet::ZoneOrders> Orders;
   TimePoint NextOrders{};
+  RolloutState Rollouts;
   /// Since when no node has held the duty.
   std::optional<TimePoint> DutyFreeSince;
   /// The duty is free, and this node may not claim it yet; see duty::mayClaim().
--- a/packages/daemon/edge/EdgeDetail.h
+++ b/packages/daemon/edge/EdgeDetail.h
@@ -114,12 +114,33 @@
 // EdgeDuty.cpp
 void tickDuty(Edge &edge);
 
+// EdgeRollouts.cpp
+/// The items of the operators were read: handles orders of rollouts that are new or gone.
+void onRolloutOrders(Edge &edge);
+/// Handles a grant or notice of the holder, or an order that a peer has read.
+void onRolloutGrant(Edge &edge, const message::RolloutGrant &grant);
+/// Sends the reports of open rollouts to the holder when they are due.
+void tickRolloutReports(Edge &edge);
+/// Logs if a bad version cannot be left within the time that the settings demand.
+void checkRolloutSettings(Edge &edge);
+/// The store has come back from an older copy.
+void onRolloutsRestored(Edge &edge);
+
+// EdgeRolloutHolder.cpp
+/// Returns the grant for the report of a node; nothing unless this node holds the duty and conducts
+/// the rollout.
+std::optional<message::RolloutGrant> answerRolloutReport(Edge &edge,
+                                                         const message::RolloutReport &report);
+void setRolloutGauges(Edge &edge);
+
 // EdgeServers.cpp
 Result<void> startServers(Edge &edge);
 http::ServerLimits limitsOf(const relay::CallerLimits &limits);
 
 /// Name of this node with its start, unique over restarts.
 std::string selfKey(const Edge &edge);
+/// The same of any node.
+std::string nodeKey(const NodeId &id);
 
 } // namespace chervil::daemon::detail
 
--- a/packages/daemon/edge/EdgeDuty.cpp
+++ b/packages/daemon/edge/EdgeDuty.cpp
@@ -185,6 +185,7 @@
   tickLease(edge);
   tickUsage(edge);
   tickOrders(edge);
+  tickRollouts(edge);
   if (now.Steady >= edge.NextUsageReport) {
     edge.NextUsageReport =
         now.Steady +
--- a/packages/daemon/edge/EdgeFixture.h
+++ b/packages/daemon/edge/EdgeFixture.h
@@ -96,14 +96,18 @@
     Store.Server.reset();
   }
 
-  void announce(const BackendStandIn &it, const char *state, const std::string &address = {}) {
+  void announce(const BackendStandIn &it, const char *state, const std::string &address = {},
+                const char *version = "") {
     const bool model = it.Id == "m" || it.Id == "n";
-    Store.put("servers/" + it.Id, {{"service", model ? "model" : "app"},
-                                   {"address", address.empty() ? it.address() : address},
-                                   {"zone", "z"},
-                                   {"slots", 4},
-                                   {"state", state},
-                                   {"sequence", 1}});
+    Json entry = {{"service", model ? "model" : "app"},
+                  {"address", address.empty() ? it.address() : address},
+                  {"zone", "z"},
+                  {"slots", 4},
+                  {"state", state},
+                  {"sequence", 1}};
+    if (*version != '\0')
+      entry["version"] = version;
+    Store.put("servers/" + it.Id, entry);
   }
 
   bool runUntil(const std::function<bool()> &holds,
--- a/packages/daemon/edge/EdgePeers.cpp
+++ b/packages/daemon/edge/EdgePeers.cpp
@@ -120,6 +120,11 @@
     relay::mergeHolders(E.Relay.Servers.PrefixCache, m);
     forwardParts(E, From, m);
   }
+  void operator()(const message::RolloutReport &m) const {
+    if (const auto grant = answerRolloutReport(E, m))
+      net::send(*E.Peers, Address, *grant);
+  }
+  void operator()(const message::RolloutGrant &m) const { onRolloutGrant(E, m); }
   /// Messages about records and shards, which this form of a node does not have.
   template <typename Other> void operator()(const Other &) const {
     count(E.Counters, "peer_message_ignored", "unknown");
@@ -193,10 +198,9 @@
   return out;
 }
 
-std::string selfKey(const Edge &edge) {
-  const NodeId &id = membership::self(edge.Members).Info.Id;
-  return id.Name + "/" + std::to_string(id.Incarnation);
-}
+std::string nodeKey(const NodeId &id) { return id.Name + "/" + std::to_string(id.Incarnation); }
+
+std::string selfKey(const Edge &edge) { return nodeKey(membership::self(edge.Members).Info.Id); }
 
 Result<void> startPeers(Edge &edge) {
   const NodeSection &node = edge.Settings.Node;
--- a/packages/daemon/edge/EdgeStore.cpp
+++ b/packages/daemon/edge/EdgeStore.cpp
@@ -32,6 +32,7 @@
 }
 
 void onOperatorItems(Edge &edge) {
+  onRolloutOrders(edge);
   const auto it = edge.OperatorItems.Items.find(adapter::ConfigurationKey);
   if (it == edge.OperatorItems.Items.end())
     return;
@@ -210,6 +211,7 @@
     restartWatch(edge, *it);
     store::onRestored(*it, edge.StoreEra, now);
   }
+  onRolloutsRestored(edge);
   duty::onStoreRestored(edge.Lease, edge.StoreEra, now);
   duty::onStoreRestored(edge.Posting, edge.StoreEra, duty::filteredTime(edge.Clock, now));
 }
