--- a/packages/relay/detail/Versions.cpp
+++ b/packages/relay/detail/Versions.cpp
@@ -17,6 +17,13 @@
   use.CountedAt = rollout.Share.Seq;
 }
 
+/// Versions whose servers stopped after a completed order may be used again.
+void endStopping(ServiceRollout &rollout) {
+  for (const std::string &it : rollout.Stopping)
+    rollout.Excluded.erase(it);
+  rollout.Stopping.clear();
+}
+
 /// While the rollout is closing, nothing goes to the old servers any more. Requests that wait, and
 /// retries, go to the target, where they are counted.
 void leaveOld(ServiceRollout &rollout, ActiveRequest &request, const Now &now) {
@@ -61,6 +68,8 @@
   ServiceRollout *rollout = findRollout(state, request.Service);
   if (rollout == nullptr)
     return std::nullopt;
+  if (!rollout->Stopping.empty() && now.Steady >= rollout->StoppingUntil)
+    endStopping(*rollout);
   decide(*rollout, request, now, rng);
   VersionUse &use = request.Versions;
   const message::RolloutGrant &grant = rollout->Share.Grant;
@@ -105,6 +114,13 @@
   return true;
 }
 
+bool waitsForUnit(State &state, const ActiveRequest &request, const Now &now) {
+  const ServiceRollout *rollout = findRollout(state, request.Service);
+  return rollout != nullptr && isDivided(*rollout) && request.Stage == Stage::Streaming &&
+         request.Versions.Sent == rollout->Share.Grant.Target &&
+         !isTargetAllowed(*rollout, request.Versions, now);
+}
+
 void onVersionSent(State &state, ActiveRequest &request, const Backend &server) {
   if (!state.Settings.Rollouts)
     return;
@@ -139,10 +155,11 @@
   setOnTrial(state.Servers.PrefixCache, std::move(onTrial));
   // After a completed order an excluded version may come into force by a plain release, once its
   // earlier servers have gone.
-  for (auto &[service, it] : state.Rollouts)
+  for (auto &[service, it] : state.Rollouts) {
+    const VersionSet &present = listed[service];
     if (it.Share.Grant.Ended == Completed)
-      std::erase_if(it.Excluded,
-                    [&](const auto &version) { return !listed[service].contains(version); });
+      std::erase_if(it.Excluded, [&](const auto &version) { return !present.contains(version); });
+  }
 }
 
 } // namespace chervil::relay::detail
