rollout: a holder that takes over after the time looks at the evidence

A holder that took over a rollout after the time of its order reverted it, however good the target was, if the last holder died while it was closing: the table asked for the time before it asked whether servers had started. The lines are exchanged; a rollout whose status is active goes on with what the nodes report.

--- a/packages/rollout/Controller.cpp
+++ b/packages/rollout/Controller.cpp
@@ -212,8 +212,8 @@
 /// The first line of a state whose condition holds is taken; see docs/design/rollouts.md.
 constexpr std::array Steps = {
     Step{State::Waiting, isInForceAlready, State::Completed, "in_force_already"},
-    Step{State::Waiting, isTimeOver, State::Reverted, "no_server_started"},
     Step{State::Waiting, hasStarted, State::Probing, "server_started"},
+    Step{State::Waiting, isTimeOver, State::Reverted, "no_server_started"},
     Step{State::Probing, isBad, State::Reverted, "worse"},
     Step{State::Probing, isAcceptedEverywhere, State::Loading, "accepted"},
     Step{State::Probing, mustFinishAndLeans, State::Loading, "time_short_leans_to_good"},
--- a/packages/rollout/LoadTestTest.cpp
+++ b/packages/rollout/LoadTestTest.cpp
@@ -79,4 +79,33 @@
   BOOST_TEST(grant.Routes[1].Permille == 125U);
 }
 
+// Guards against a good version that is reverted because its holder died while it was closing and
+// the next one takes over after the time of the order.
+BOOST_AUTO_TEST_CASE(TakeoverAfterTheTimeLooksAtTheEvidence) {
+  for (const std::uint64_t failed : {0U, 40U}) {
+    Now time{TimePoint(1000s), WallTime(1'000'000'000ms)};
+    const Mark mark{5, time.Wall - 13s, 200};
+    Controller c = makeController({"s", "v2", 12s, 5}, {0.1, 50},
+                                  Status{StatusState::Active, "v2", 6}, mark, time);
+    const Inputs in{
+        .MayAct = true, .Token = 2, .TargetSlots = 64, .OldSlots = 64, .TargetServers = 8};
+    Random rng{1};
+    message::RolloutReport report;
+    report.Service = "s";
+    report.Order = 5;
+    report.Node = "n";
+    report.Seq = 9;
+    report.Sent = 200;
+    report.Seen = 2000;
+    report.Counts = {{"a", false, 1000, 0, 0}, {"a", true, 200, failed, 0}};
+    onReport(c, report, in, time, rng);
+    for (int i = 0; i < 4; ++i) {
+      time.Steady += 500ms;
+      time.Wall += 500ms;
+      tick(c, in, time);
+    }
+    BOOST_TEST((c.State == State::Reverted) == (failed > 0));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
