tools: rollouts in the fault soak

Without the flag a run is as before.

Not run against a node with rollouts; mutations of the budget and of the reverting are missing.

--- a/tools/lib/soak/__main__.py
+++ b/tools/lib/soak/__main__.py
@@ -20,6 +20,7 @@
 from .link import Link
 from .node import MEMORY_MB, ROOT, Node
 from .platform import QUOTA, Duties, Operator, check_usage
+from .rollouts import SETTINGS, Rollouts, is_supported
 from .server import Server, Slot
 from .store import Store
 
@@ -66,7 +67,16 @@
         # A copy, so that a build meanwhile does not change the program under a run.
         self.program = self.directory / "chervilcoursed"
         shutil.copy2(ROOT / options.build / "packages/daemon/chervilcoursed", self.program)
+        # By service; servers of other versions belong to a rollout.
+        self.versions = {"app": "1", "model": "1"}
         self.extra_settings = {"edge.memory_mb": MEMORY_MB}
+        supported = options.rollouts is not None and is_supported(self.program)
+        self.has_rollouts = supported or options.rollouts == "always"
+        if supported:
+            self.extra_settings.update(SETTINGS)
+        elif options.rollouts is not None:
+            print("fault-soak: the node knows no settings of rollouts"
+                  + ("" if self.has_rollouts else "; no orders are written"))
         self.begin = time.monotonic()
         self.ending = self.closing = False
         self.keys = {"plain": "key-of-plain", "limited": "key-of-limited"}
@@ -156,17 +166,22 @@
     began = world.now()
     faults = Faults(world)
     plan = faults.plan(options.seed, options.minutes * 60)
+    rollouts = Rollouts(world, faults, random.Random(f"rollouts {options.seed}"),
+                        world.port + SERVER_PORTS + APP_SERVERS + MODEL_SERVERS)
     tasks = [asyncio.create_task(world.watch_self()), asyncio.create_task(world.operator.run())]
     for _ in range(CALLERS):
         tasks.append(asyncio.create_task(Caller(world, random.Random(rng.random())).run()))
     for _ in range(PRESSING):
         tasks.append(asyncio.create_task(
             Caller(world, random.Random(rng.random())).run(("quota",), 0.15)))
+    if world.has_rollouts:
+        tasks.append(asyncio.create_task(rollouts.run()))
     if not options.calm:
         await faults.run(plan)
     else:
         await asyncio.sleep(options.minutes * 60)
     world.log("faults are over")
+    rollouts.over = True
     await asyncio.sleep(RECOVER_TIME)
     recovered = world.now()
     # Long enough for the usage of one undisturbed window to fall due.
@@ -202,6 +217,7 @@
     parser.add_argument("--build", default="build/release")
     parser.add_argument("--calm", action="store_true")
     parser.add_argument("--keep", action="store_true")
+    parser.add_argument("--rollouts", nargs="?", const="supported", choices=["supported", "always"])
     options = parser.parse_args()
     # Ends the nodes, too, when the soak is told to stop.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
--- a/tools/lib/soak/ledger.py
+++ b/tools/lib/soak/ledger.py
@@ -55,6 +55,8 @@
     tenant: str = ""
     # The server broke off, or was asked to answer badly.
     broken: bool = False
+    # A bad response of a bad version.
+    spoiled: bool = False
 
 
 @dataclass
--- a/tools/lib/soak/server.py
+++ b/tools/lib/soak/server.py
@@ -12,8 +12,9 @@
 
 
 class Server:
-    def __init__(self, world, id, service, zone, rng):
+    def __init__(self, world, id, service, zone, rng, version=None):
         self.world, self.id, self.service, self.zone, self.rng = world, id, service, zone, rng
+        self.version = version or world.versions[service]
         self.state = "ready"
         self.born = int(world.wall() * 1000)
         # When the store accepted that it leaves, or when it ended.
@@ -27,6 +28,8 @@
         self.cut_next = 0
         self.extra_next = 0
         self.frozen = False
+        # Part of the responses of a bad version that fail.
+        self.spoils = 0.0
         # Cannot reach the store; shortest and longest silence within each stream, in seconds.
         self.is_cut_off = False
         self.silence = None
@@ -49,7 +52,7 @@
         self.sequence += 1
         self.world.store.put(f"servers/{self.id}", {
             "service": self.service, "address": f"127.0.0.1:{self.link.port}", "zone": self.zone,
-            "version": "1", "slots": SLOTS, "state": self.state, "cold-remaining-ms": 0,
+            "version": self.version, "slots": SLOTS, "state": self.state, "cold-remaining-ms": 0,
             "sequence": self.sequence, "born": self.born})
 
     async def _heartbeat(self):
@@ -157,7 +160,9 @@
     async def _plain(self, request, run, reader, writer):
         if not await self._work(0.02 + 0.06 * self.rng.random(), run, reader, writer):
             return False
-        run.status = 500 if self.rng.random() < 0.01 else 200
+        run.spoiled = self.spoils > 0 and self.rng.random() < self.spoils
+        run.status = 500 if run.spoiled or self.rng.random() < 0.01 else 200
+        run.spoiled = run.spoiled or self.slow > 1
         run.body = f"{self.id} {self.runs} {run.attempt} {request.target} ".encode() * 20
         fields = self._fields(run)
         answer = wire.response(run.status, fields, run.body)
@@ -188,7 +193,12 @@
         first = int(request.fields.get("last-event-id", "0")) + 1
         if not await self._work(0.05, run, reader, writer):
             return False
-        run.status = 200
+        if self.spoils > 0 and self.rng.random() < self.spoils:
+            run.status, run.spoiled = 500, True
+            writer.write(wire.response(500, self._fields(run)))
+            await writer.drain()
+            return True
+        run.status, run.spoiled = 200, self.slow > 1
         fields = {**self._fields(run), "Content-Type": "text/event-stream",
                   "Transfer-Encoding": "chunked"}
         writer.write(wire.head("HTTP/1.1 200 OK", fields))
