--- a/tools/lib/soak/server.py
+++ b/tools/lib/soak/server.py
@@ -1,8 +1,10 @@
 """A backend server of the users: plain answers and streams, and the ways in which it misbehaves."""
 
 import asyncio
+from dataclasses import dataclass
 
 from . import wire
+from .link import Link
 
 HEARTBEAT = 1.2
 SLOTS = 8
@@ -10,8 +12,9 @@
 
 
 class Server:
-    def __init__(self, world, id, service, zone, rng):
+    def __init__(self, world, id, service, zone, rng, version=None):
         self.world, self.id, self.service, self.zone, self.rng = world, id, service, zone, rng
+        self.version = version or world.versions[service]
         self.state = "ready"
         self.born = int(world.wall() * 1000)
         # When the store accepted that it leaves, or when it ended.
@@ -25,6 +28,11 @@
         self.cut_next = 0
         self.extra_next = 0
         self.frozen = False
+        # Part of the responses of a bad version that fail.
+        self.spoils = 0.0
+        # Cannot reach the store; shortest and longest silence within each stream, in seconds.
+        self.is_cut_off = False
+        self.silence = None
         # What it says of itself: requests per second that it takes from all nodes together; how many
         # requests it will turn away, and for how many seconds it then wants none from that node.
         self.limit = None
@@ -44,14 +52,14 @@
         self.sequence += 1
         self.world.store.put(f"servers/{self.id}", {
             "service": self.service, "address": f"127.0.0.1:{self.link.port}", "zone": self.zone,
-            "version": "1", "slots": SLOTS, "state": self.state, "cold-remaining-ms": 0,
+            "version": self.version, "slots": SLOTS, "state": self.state, "cold-remaining-ms": 0,
             "sequence": self.sequence, "born": self.born})
 
     async def _heartbeat(self):
         while True:
             await asyncio.sleep(HEARTBEAT)
             # A report that the store does not accept is sent again with the next one.
-            if self.world.store.mode == "ok" and not self.frozen:
+            if self.world.store.mode == "ok" and not self.frozen and not self.is_cut_off:
                 self.announce()
 
     async def drain(self, extra, announced=True):
@@ -152,7 +160,9 @@
     async def _plain(self, request, run, reader, writer):
         if not await self._work(0.02 + 0.06 * self.rng.random(), run, reader, writer):
             return False
-        run.status = 500 if self.rng.random() < 0.01 else 200
+        run.spoiled = self.spoils > 0 and self.rng.random() < self.spoils
+        run.status = 500 if run.spoiled or self.rng.random() < 0.01 else 200
+        run.spoiled = run.spoiled or self.slow > 1
         run.body = f"{self.id} {self.runs} {run.attempt} {request.target} ".encode() * 20
         fields = self._fields(run)
         answer = wire.response(run.status, fields, run.body)
@@ -171,15 +181,28 @@
         await writer.drain()
         return True
 
+    def _silence_in(self, run):
+        """Seconds of silence within a stream."""
+        attempt = self.world.ledger.attempts.get(run.attempt)
+        if attempt is not None and attempt.silence:
+            return attempt.silence
+        return self.rng.uniform(*self.silence) if self.silence is not None else 0.0
+
     async def _stream(self, request, run, reader, writer):
         size = int(request.target.rsplit("/", 1)[1])
         first = int(request.fields.get("last-event-id", "0")) + 1
         if not await self._work(0.05, run, reader, writer):
             return False
-        run.status = 200
+        if self.spoils > 0 and self.rng.random() < self.spoils:
+            run.status, run.spoiled = 500, True
+            writer.write(wire.response(500, self._fields(run)))
+            await writer.drain()
+            return True
+        run.status, run.spoiled = 200, self.slow > 1
         fields = {**self._fields(run), "Content-Type": "text/event-stream",
                   "Transfer-Encoding": "chunked"}
         writer.write(wire.head("HTTP/1.1 200 OK", fields))
+        silence = self._silence_in(run)
         for n in range(first, size + 1):
             event = f"id: {n}\ndata: {run.attempt}:{run.stamp}:{n}/{size}\n\n".encode()
             if self.cut_next > 0 and n > first + 2:
@@ -190,9 +213,21 @@
                 return False
             writer.write(wire.chunk(event))
             await writer.drain()
-            if not await self._work(EVENT_GAP, run, reader, writer):
+            pause = EVENT_GAP
+            if silence:
+                pause, silence = silence, 0.0
+                self.world.ledger.count("preempted")
+            if not await self._work(pause, run, reader, writer):
                 run.broken = run.broken or not self.alive
                 return False
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
+
+
+@dataclass(eq=False)
+class Slot:
+    """A place for backend servers, with one address for all that run there in turn."""
+    link: Link
+    zone: str
+    server: Server
