store, daemon: a key read before a restore keeps its era

Change: a mirror remembers the era in which its items were read. HolderOfBeforeARestoreGivesWayToTheNext fails without it. Ruled out as related: the list of backend servers takes its position right after reading.

--- a/packages/daemon/edge/EdgeDutyTest.cpp
+++ b/packages/daemon/edge/EdgeDutyTest.cpp
@@ -108,4 +108,26 @@
   BOOST_TEST((net::readNow().Steady - learned >= f.Node->Lease.Options.Ttl - 100ms));
 }
 
+// Guards against counts that go to an earlier holder for good: its key, read before a restore of
+// the store, was ranked with the era after it, above the key of the next holder.
+BOOST_AUTO_TEST_CASE(HolderOfBeforeARestoreGivesWayToTheNext) {
+  DutyFixture f;
+  const char *holder = "chervil/duty/holder";
+  f.Store.Revision += 100;
+  f.Store.Items[holder] = {"earlier 1 127.0.0.1:1", ++f.Store.Revision};
+  const auto reportsTo = [&](const char *address) {
+    return f.runUntil([&] { return f.Node->Holder.PeerAddress == address; }, 4000ms);
+  };
+  BOOST_TEST(reportsTo("127.0.0.1:1"));
+  auto copy = f.Store.Items;
+  copy[holder] = {"next 1 127.0.0.1:2", 1};
+  f.Store.LostPrefix = "chervil/duty/";
+  f.Store.restore(copy, 1);
+  BOOST_TEST(f.runUntil([&] { return f.Node->StoreEra == 2; }, 2000ms));
+  // Some periods of the reports pass before the key can be read again.
+  f.runUntil([] { return false; }, 400ms);
+  f.Store.LostPrefix.clear();
+  BOOST_TEST(reportsTo("127.0.0.1:2"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/daemon/edge/EdgePeers.cpp
+++ b/packages/daemon/edge/EdgePeers.cpp
@@ -245,8 +245,8 @@
 void reportUsage(Edge &edge) {
   const store::Item *item = holderItem(edge);
   if (const auto value = item == nullptr ? std::nullopt : duty::parseHolder(item->Value))
-    setHolderIfNewer(edge,
-                     {value->PeerAddress, duty::fencingToken({edge.OwnItems.Era, item->Created})});
+    setHolderIfNewer(
+        edge, {value->PeerAddress, duty::fencingToken({edge.OwnItems.ItemsEra, item->Created})});
   if (edge.Holder.Token == 0 || edge.Holder.PeerAddress == edge.Settings.Node.PeerAdvertise)
     return;
   const message::UsageReport report = duty::makeNodeReport(edge.Usage, selfKey(edge));
--- a/packages/store/Mirror.cpp
+++ b/packages/store/Mirror.cpp
@@ -91,6 +91,7 @@
   if (page.HasMore && !page.Items.empty())
     return false;
   mirror.Items = std::move(mirror.PartialItems);
+  mirror.ItemsEra = mirror.Era;
   mirror.Revision = std::max<std::uint64_t>(1, mirror.ReadRevision);
   resetRead(mirror);
   if (mirror.Options.PollPeriod > Duration{0})
@@ -158,8 +159,10 @@
     return;
   const bool isFirst = mirror.Era == 0 && mirror.Revision == 0;
   mirror.Era = era;
-  if (isFirst)
+  if (isFirst) {
+    mirror.ItemsEra = era;
     return;
+  }
   mirror.NextCall = now.Steady;
   mirror.ReturnedAt = now.Steady;
   resetRead(mirror);
--- a/packages/store/Mirror.h
+++ b/packages/store/Mirror.h
@@ -58,8 +58,11 @@
   std::map<std::string, Item> Items;
   /// Revision that Items reflect; 0 until they have been read once.
   std::uint64_t Revision = 0;
-  /// Era of the store when Items were read; see Position. 0 if unknown.
+  /// Newest known era of the store; see Position. 0 if unknown.
   std::uint64_t Era = 0;
+  /// The same when Items were read: until they have been read again after a restore, their
+  /// revisions belong to an earlier era.
+  std::uint64_t ItemsEra = 0;
   /// Time of the last answer of the store.
   std::optional<TimePoint> LastAnswer;
   /// When the store was last back after an outage, or from an older copy; empty if it has answered
--- a/packages/store/MirrorTest.cpp
+++ b/packages/store/MirrorTest.cpp
@@ -118,12 +118,15 @@
   onInterrupted(f.M, f.Time);
   const TimePoint before = f.Time.Steady;
   onRestored(f.M, 2, f.Time);
+  // Revisions of items that were read before the restore do not pass for those of the new era.
+  BOOST_TEST(f.M.ItemsEra == 1U);
   BOOST_TEST((f.M.ReturnedAt == before));
   BOOST_TEST(!nextCheck(f.M, 0ms, f.Time).has_value());
   BOOST_TEST((f.next().Type == MirrorCall::Kind::ReadPage));
   onPage(f.M, {{item("p/b", 4)}, false, 5}, f.Time);
   BOOST_TEST(f.M.Items.size() == 1U);
   BOOST_TEST(f.M.Items.at("p/b").Revision == 4U);
+  BOOST_TEST(f.M.ItemsEra == 2U);
   const MirrorCall watch = f.next();
   BOOST_TEST((watch.Type == MirrorCall::Kind::Watch));
   BOOST_TEST(watch.AfterRevision == 5U);
