relay: a silent server is not left for a claim

The call to the silent server was given up, the claim was denied, and the stream was aborted, although its server would have gone on after 0.6 to 2 s.

Change: while the call still runs, only a server that can be sent to now takes its place. SilentServerIsNotLeftForAClaim fails without the change.

--- a/packages/relay/ServerLimitTest.cpp
+++ b/packages/relay/ServerLimitTest.cpp
@@ -1,5 +1,6 @@
 // Servers that limit the requests of all nodes together.
 #include "relay/RelayFixture.h"
+#include "relay/detail/BackendCalls.h"
 
 using namespace chervil;
 using namespace chervil::relay;
@@ -165,6 +166,31 @@
   BOOST_TEST(second.ResumeAfter == "1");
 }
 
+// Guards against a stream that is aborted although its server was only silent for a moment: its
+// call was given up for a claim at a server with a limit, which may be denied.
+BOOST_AUTO_TEST_CASE(SilentServerIsNotLeftForAClaim) {
+  LimitFixture f(2);
+  f.request("/resumed/x");
+  f.headWithLimit(f.call().Call, {StatedLimit::Kind::Limited, 1.2});
+  f.bytes(f.call().Call, "id: 1\ndata: a\n\n");
+  f.end(f.call().Call, BackendEnd::Complete);
+  f.Out.clear();
+  f.request("/resumed/x");
+  if (f.all<CallBackend>().empty())
+    f.grant(f.claim().Seq, false);
+  f.S.ActiveRequests.begin()->second.GiveUp = f.Time.Steady + 1h;
+  const CallBackend silent = f.call();
+  f.headWithLimit(silent.Call, {StatedLimit::Kind::Unlimited});
+  f.bytes(silent.Call, "id: 1\ndata: a\n\n");
+  f.Out.clear();
+  f.wait(detail::stallTimeout(f.S.Config->Routes[3]) + 1ms);
+  BOOST_TEST(f.all<CancelBackend>().empty());
+  BOOST_TEST(f.all<ClaimSend>().empty());
+  f.bytes(silent.Call, "id: 2\ndata: b\n\n");
+  f.end(silent.Call, BackendEnd::Complete);
+  BOOST_TEST(f.all<EndStream>().size() == 1U);
+}
+
 // Guards against a limit that outlives the server's statement, and one that ends with an answer
 // that is older than the statement.
 BOOST_AUTO_TEST_CASE(LimitEndsWithALaterAnswerWithoutIt) {
--- a/packages/relay/detail/Dispatch.cpp
+++ b/packages/relay/detail/Dispatch.cpp
@@ -249,12 +249,16 @@
       ctx.Time.Steady + MinTimeLeftToSend > request.GiveUp)
     return false;
   SelectionCriteria criteria = criteriaOf(ctx, request);
+  // A server that is only silent may go on. Its call is given up for a send that can be made now,
+  // and not for a claim or a wait.
+  const bool isSilent = request.Call != 0 && request.LastFailure == ResultCode::BackendTimeout;
+  if (isSilent)
+    criteria.Limited = SelectionCriteria::LimitedServers::None;
   const Choice choice = choose(ctx, request, criteria);
-  // A call whose server is only silent goes on meanwhile.
-  const bool mayWait =
-      request.LastFailure != ResultCode::BackendTimeout && waitsForUnit(state, request, ctx.Time);
-  if (choice.Server == nullptr && !mayWait &&
-      !hasServerBehindLimit(state.Servers, criteria, ctx.Time))
+  const bool mayWait = !isSilent && (hasServerBehindLimit(state.Servers, criteria, ctx.Time) ||
+                                     (request.LastFailure != ResultCode::BackendTimeout &&
+                                      waitsForUnit(state, request, ctx.Time)));
+  if (choice.Server == nullptr && !mayWait)
     return false;
   if (!tryAcquireRetry(state.Retries[request.Service], state.Settings, state.LiveNodes, ctx.Time)) {
     ctx.Out.push_back(IncrementCounter{"retry_refused", "budget"});
