--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -15,6 +15,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -46,11 +47,15 @@
 
 
 def free_ports(n):
+    """Free ports below those that the kernel gives to outgoing channels."""
     held = []
-    for _ in range(n):
+    while len(held) < n:
         it = socket.socket()
-        it.bind(("127.0.0.1", 0))
-        held.append(it)
+        try:
+            it.bind(("127.0.0.1", random.randrange(21_000, 32_000)))
+            held.append(it)
+        except OSError:
+            it.close()
     ports = [it.getsockname()[1] for it in held]
     for it in held:
         it.close()
