--- a/review/9/case.py
+++ b/review/9/case.py
@@ -29,12 +29,13 @@
 
 async def case(d):
     rng = random.Random(1)
-    sent, runs, seen = {}, [], {}
+    sent, runs, seen, said, ran = {}, [], {}, {}, {}
 
     async def handler(engine, request, reader, writer):
         attempt = request.fields.get("attempt-id", "")
         await asyncio.sleep(0.02)
         runs.append((sent[attempt], d.now()))
+        ran[attempt] = f"ran at {engine.id} from {d.now():.3f}"
         writer.write(wire.head("HTTP/1.1 200 OK", {
             "Attempt-Id": attempt, "Server-Stamp": engine.stamp(),
             "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"}))
@@ -53,6 +54,7 @@
     async def call(node, leaves):
         attempt = uuid.uuid4().hex[:16]
         sent[attempt] = d.now()
+        said[attempt] = f"to {node.name}: no answer"
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", node.caller)
             writer.write(wire.request("POST", "/draft/1", {
@@ -61,10 +63,12 @@
                 "Prompt-Prefix": f"5c1e07a2:800,{attempt[:8]}:{COST - 1000}"}, b"x" * 300))
             answer = await wire.read_head(reader)
             count(answer.status if answer else "closed")
+            said[attempt] = f"to {node.name}: {answer.status if answer else 'closed'}"
             if answer and answer.status == 200:
                 while await wire.read_chunk(reader):
                     if leaves:
                         count("left after the first event")
+                        said[attempt] += ", the caller left after the first event"
                         break
             wire.abort(writer)
         except (OSError, wire.BrokenMessage):
@@ -80,6 +84,8 @@
         calls.append(asyncio.create_task(call(d.nodes[i % 3], TROUBLE and rng.random() < LEAVING)))
         await asyncio.sleep(1 / PER_SECOND)
     await asyncio.gather(*calls)
+    for attempt, at in sent.items():
+        d.record(f"{attempt} sent at {at:.3f} {said[attempt]}; {ran.get(attempt, 'not run')}")
     d.record(f"callers: {len(calls)} requests of {COST} tokens; {seen}")
     if seen.get(200, 0) < 100:
         raise deployment.CannotRun("hardly anything was served")
