--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -246,12 +246,14 @@
 def main(case, folder):
     async def play():
         d = Deployment(pathlib.Path(folder))
+        # Ends the nodes, too, when the script is told to stop.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             await d.prepare()
             broken = await asyncio.wait_for(case(d), LONGEST)
             d.record("the rule was broken" if broken else "the rule held")
             return 1 if broken else 0
-        except (CannotRun, asyncio.TimeoutError) as e:
+        except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError) as e:
             d.record(f"could not run: {e!r}")
             return 2
         finally:
