--- a/review/6/case.py
+++ b/review/6/case.py
@@ -69,10 +69,15 @@
         "Host": HOST, "Attempt-Id": attempt, "Deadline-Ms": 9000, "Model": "m",
         "Token-Usage": "1460,120", "Prompt-Prefix": "5c1e07a2:800,e4402b7d:660"}, b"x" * 600))
     d.record(f"caller: {attempt} sent to {node.name}")
-    events, complete, longest = 0, False, 0.0
+    events, complete, longest, last = 0, False, 0.0, d.now()
     try:
         answer = await asyncio.wait_for(wire.read_head(reader), 5.0)
+        if answer is None:
+            raise wire.BrokenMessage("closed before an answer")
         d.record(f"caller: status {answer.status}")
+        if answer.status != 200:
+            # A whole answer, though a refusal: no loss, and not the order of events that is meant.
+            raise deployment.CannotRun("the request was refused")
         last = d.now()
         while data := await asyncio.wait_for(wire.read_chunk(reader), PATIENCE):
             longest, last = max(longest, d.now() - last), d.now()
@@ -94,7 +99,7 @@
         raise deployment.CannotRun("the stream has the wrong number of events")
     # LOST around planned work: read, passed on, and ended without a complete answer, while the engine
     # had not broken off and no time was over.
-    return not complete
+    return not complete and state["runner"] is not None
 
 
 deployment.Node.stopped = False
