--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -46,14 +46,21 @@
     """The case could not be set up; says nothing about the rule."""
 
 
+GIVEN = set()
+
+
 def free_ports(n):
-    """Free ports below those that the kernel gives to outgoing channels."""
+    """Free ports below those that the kernel gives to outgoing channels, each given once."""
     held = []
     while len(held) < n:
+        port = random.SystemRandom().randrange(21_000, 32_000)
         it = socket.socket()
         try:
-            it.bind(("127.0.0.1", random.randrange(21_000, 32_000)))
+            if port in GIVEN:
+                raise OSError("given to another node")
+            it.bind(("127.0.0.1", port))
             held.append(it)
+            GIVEN.add(port)
         except OSError:
             it.close()
     ports = [it.getsockname()[1] for it in held]
