relay: the state of one call to a server is a struct of its own

Cause: ActiveRequest held the state of its current call beside that of the request, so that it could have one call only. Change: ServerCall has what belongs to a call (server, version, head, body, events, progress); ActiveRequest::Call is the current one. No change of behaviour; a new call begins with a new ServerCall, which the sender reset field by field before. Result: relay_test passes as before.

--- a/packages/relay/ActiveRequest.h
+++ b/packages/relay/ActiveRequest.h
@@ -4,12 +4,10 @@
 
 #include "base/ResultCode.h"
 #include "base/Time.h"
-#include "relay/Backends.h"
 #include "relay/Configuration.h"
 #include "relay/Effect.h"
-#include "relay/EventProgress.h"
-#include "relay/EventSplitter.h"
 #include "relay/RequestInfo.h"
+#include "relay/ServerCall.h"
 #include "relay/VersionUse.h"
 
 #include <string>
@@ -53,22 +51,14 @@
   TimePoint GiveUp{};
 
   relay::Stage Stage = Stage::WaitingForTokens;
-  /// The current call to a server; 0 if there is none.
-  CallId Call = 0;
-  /// Id of the server of the current or last call.
-  std::string Backend;
+  /// The current call to a server, or the last one.
+  ServerCall Call;
   /// Number of the claim to send it to a server with a limit; 0 if none is pending.
   std::uint64_t SendClaim = 0;
   /// Claims denied since servers were last considered for it.
   unsigned DeniedClaims = 0;
   /// It was sent before, and the retry budget covers the next send.
   bool IsRetrying = false;
-  /// Prompt tokens that the server of the current call was expected to read.
-  double PendingTokens = 0;
-  /// The estimates that its server was chosen by.
-  ChoiceFigures Figures;
-  /// When the current call was sent.
-  TimePoint Sent{};
   /// When the first byte of any answer arrived; the epoch until then.
   TimePoint FirstByte{};
   /// Ids of the servers to which the request was sent.
@@ -80,28 +70,8 @@
   /// Why the last send failed.
   ResultCode LastFailure = ResultCode::NoBackend;
 
-  /// Status of the answer of the current call; 0 until its head arrives.
-  int Status = 0;
-  /// See BackendHead::IsGenuine.
-  bool IsGenuine = false;
-  /// When the head of the answer of the current call arrived; the epoch until then.
-  TimePoint AnswerBegan{};
-  /// That answer has gone on long enough to show that its prompt does not crash servers.
-  bool AnswerWentOn = false;
   /// It is quarantined and sent to find out whether it still crashes its server.
   bool IsProbe = false;
-  /// The first byte of the body has arrived in the current call.
-  bool GotFirstByte = false;
-  /// Body received so far, if the answer is not streamed.
-  std::string Body;
-  /// Splits the stream of the current call into events.
-  EventSplitter Events;
-  /// How far the stream of the current call has come, and when it last made progress.
-  EventProgress Progress;
-  TimePoint LastProgress{};
-  /// Events since EventsSince, which is the epoch before the first one.
-  unsigned TimedEvents = 0;
-  TimePoint EventsSince{};
   /// While its server is silent: another one is not looked for before this time.
   TimePoint NextMove{};
   /// Id of the last event forwarded to the caller.
--- a/packages/relay/BackendEvents.cpp
+++ b/packages/relay/BackendEvents.cpp
@@ -40,18 +40,18 @@
 
 /// Handles the first byte of an answer.
 void onAnswerStarted(Context &ctx, ActiveRequest &request) {
-  if (request.GotFirstByte)
+  if (request.Call.GotFirstByte)
     return;
-  request.GotFirstByte = true;
+  request.Call.GotFirstByte = true;
   if (request.FirstByte == TimePoint{})
     request.FirstByte = ctx.Time.Steady;
   if (!request.Info.Prompt.empty())
-    onPrefillDone(ctx.S.PrefillDemands[request.Service], request.PendingTokens,
-                  ctx.Time.Steady - request.Sent);
-  if (request.Status == 200)
-    onPromptRead(ctx.S.Servers, request.Backend, request.Figures, ctx.Time.Steady - request.Sent,
-                 ctx.Time);
-  onFirstByte(ctx.S.Servers, request.Backend, request.PendingTokens, request.Info.Prompt);
+    onPrefillDone(ctx.S.PrefillDemands[request.Service], request.Call.PendingTokens,
+                  ctx.Time.Steady - request.Call.Sent);
+  if (request.Call.Status == 200)
+    onPromptRead(ctx.S.Servers, request.Call.Backend, request.Call.Figures,
+                 ctx.Time.Steady - request.Call.Sent, ctx.Time);
+  onFirstByte(ctx.S.Servers, request.Call.Backend, request.Call.PendingTokens, request.Info.Prompt);
   // A resumed stream counts as the same run for its workspace.
   if (!request.Workspace.empty() && request.LastEvent.empty())
     ctx.Out.push_back(RunStarted{request.Workspace});
@@ -60,7 +60,7 @@
 /// Handles a call whose server did not run the request.
 void onRejected(Context &ctx, ActiveRequest &request, ResultCode why) {
   request.LastFailure = why;
-  recordOutcome(ctx.S.Servers, request.Backend, SendOutcome::Full, ctx.Time);
+  recordOutcome(ctx.S.Servers, request.Call.Backend, SendOutcome::Full, ctx.Time);
   detail::endCall(ctx, request, true);
   if (!detail::retryRequest(ctx, request, false))
     detail::refuse(ctx, request, why, ServersFullRetryAfter);
@@ -70,7 +70,7 @@
 void onLost(Context &ctx, ActiveRequest &request, ResultCode why) {
   request.LastFailure = why;
   ++request.PossibleRuns;
-  recordOutcome(ctx.S.Servers, request.Backend, SendOutcome::Broken, ctx.Time);
+  recordOutcome(ctx.S.Servers, request.Call.Backend, SendOutcome::Broken, ctx.Time);
   detail::endCall(ctx, request, true);
   if (!detail::retryRequest(ctx, request, true))
     detail::refuse(ctx, request, why, 0ms);
@@ -90,11 +90,11 @@
 
 /// Handles an answer whose server says that it is leaving.
 void onLeavingStated(Context &ctx, const ActiveRequest &request) {
-  const Backend *server = find(ctx.S.Servers, request.Backend);
+  const Backend *server = find(ctx.S.Servers, request.Call.Backend);
   if (server == nullptr)
     return;
   message::BackendDeparture departure = makeDeparture(
-      ctx.S.Servers, {request.Backend, server->Entry.Born}, message::DepartureKind::Announced);
+      ctx.S.Servers, {request.Call.Backend, server->Entry.Born}, message::DepartureKind::Announced);
   if (!applyDeparture(ctx.S.Servers, departure, ctx.Time))
     return;
   detail::logDeparture(ctx.Out, departure, "answer");
@@ -104,54 +104,54 @@
 /// Handles an answer whose server wants no requests from this node for a time.
 void onPauseStated(Context &ctx, const ActiveRequest &request, std::chrono::milliseconds time) {
   ctx.Out.push_back(IncrementCounter{"backend_notice", "nothing_for"});
-  if (pauseServer(ctx.S.Servers, request.Backend, time, ctx.Time))
+  if (pauseServer(ctx.S.Servers, request.Call.Backend, time, ctx.Time))
     detail::logRequest(ctx, request, "backend_pause", {{"time_ms", std::to_string(time.count())}});
 }
 
 /// Collects bytes of an answer. Returns false if there are too many.
 bool collect(State &state, ActiveRequest &request, std::string_view bytes) {
-  const std::size_t size = request.Body.size() + bytes.size();
+  const std::size_t size = request.Call.Body.size() + bytes.size();
   const bool isCrowded = state.CollectedBytes + bytes.size() > state.Settings.MaxCollectedBytes;
   if (size > state.Settings.MaxAnswerBytes || (isCrowded && size > SmallAnswerBytes))
     return false;
-  request.Body.append(bytes);
+  request.Call.Body.append(bytes);
   state.CollectedBytes += bytes.size();
   return true;
 }
 
 /// Handles a call whose connection ended. The server may have crashed while it ran the request.
 void onBroken(Context &ctx, ActiveRequest &request) {
-  if (!request.GotFirstByte) {
+  if (!request.Call.GotFirstByte) {
     const message::CrashReport report = retry::recordCrash(
-        ctx.S.Quarantine, request.Info.ContentHash, request.Backend, false, ctx.Time);
+        ctx.S.Quarantine, request.Info.ContentHash, request.Call.Backend, false, ctx.Time);
     ctx.Out.push_back(Gossip{report});
   }
   detail::onAnswerBroke(ctx, request);
   detail::noteBroken(ctx, request);
   onLost(ctx, request,
-         request.Status != 0 ? ResultCode::BackendBadAnswer : ResultCode::BackendDied);
+         request.Call.Status != 0 ? ResultCode::BackendBadAnswer : ResultCode::BackendDied);
 }
 
 /// Counts an event of a stream for the speed of its server.
 void timeEvent(Context &ctx, ActiveRequest &request) {
   if (request.Info.Prompt.empty())
     return;
-  if (request.EventsSince == TimePoint{}) {
-    request.EventsSince = ctx.Time.Steady;
+  if (request.Call.EventsSince == TimePoint{}) {
+    request.Call.EventsSince = ctx.Time.Steady;
     return;
   }
-  if (++request.TimedEvents < EventsPerSample)
+  if (++request.Call.TimedEvents < EventsPerSample)
     return;
-  onEventsTimed(ctx.S.Servers, request.Backend, request.TimedEvents,
-                ctx.Time.Steady - request.EventsSince, ctx.Time);
-  request.TimedEvents = 0;
-  request.EventsSince = ctx.Time.Steady;
+  onEventsTimed(ctx.S.Servers, request.Call.Backend, request.Call.TimedEvents,
+                ctx.Time.Steady - request.Call.EventsSince, ctx.Time);
+  request.Call.TimedEvents = 0;
+  request.Call.EventsSince = ctx.Time.Steady;
 }
 
 /// Handles a complete answer of the server itself, which did not crash on the content.
 void onContentAnswered(Context &ctx, const ActiveRequest &request) {
   auto report =
-      retry::recordAnswer(ctx.S.Quarantine, request.Info.ContentHash, request.Sent, ctx.Time);
+      retry::recordAnswer(ctx.S.Quarantine, request.Info.ContentHash, request.Call.Sent, ctx.Time);
   if (!report)
     return;
   detail::logRequest(ctx, request, "content_cleared", {});
@@ -161,8 +161,8 @@
 /// Forwards bytes of a stream. On resumable routes, only complete events that the caller does not
 /// have yet are forwarded.
 void streamEvents(Context &ctx, ActiveRequest &request, std::string_view bytes) {
-  if (advance(request.Progress, bytes)) {
-    request.LastProgress = ctx.Time.Steady;
+  if (advance(request.Call.Progress, bytes)) {
+    request.Call.LastProgress = ctx.Time.Steady;
     timeEvent(ctx, request);
     detail::noteEvent(request, ctx.Time);
   }
@@ -171,7 +171,7 @@
     return;
   }
   std::string complete;
-  for (const std::string &event : splitEvents(request.Events, bytes)) {
+  for (const std::string &event : splitEvents(request.Call.Events, bytes)) {
     const std::string_view id = eventId(event);
     if (!id.empty() && isAlreadyDelivered(id, request.LastEvent))
       continue;
@@ -185,7 +185,8 @@
 
 /// Returns true if the answer is forwarded as it arrives.
 bool isStreamed(const ActiveRequest &request) {
-  return request.Route->Kind == RouteKind::Stream && request.IsGenuine && request.Status == 200;
+  return request.Route->Kind == RouteKind::Stream && request.Call.IsGenuine &&
+         request.Call.Status == 200;
 }
 
 /// Handles a call whose server sent more than an answer can hold, or, if `isCrowded`, more than
@@ -196,7 +197,7 @@
   if (!isCrowded)
     detail::noteFailed(ctx, request);
   detail::logRequest(ctx, request, "answer_too_large",
-                     {{"collected", std::to_string(request.Body.size())}});
+                     {{"collected", std::to_string(request.Call.Body.size())}});
   onLost(ctx, request, ResultCode::BackendBadAnswer);
 }
 
@@ -206,14 +207,14 @@
     detail::onAnswerProgress(ctx, request, true);
     onContentAnswered(ctx, request);
     detail::noteAnswer(ctx, request);
-    recordOutcome(ctx.S.Servers, request.Backend, SendOutcome::Success, ctx.Time);
+    recordOutcome(ctx.S.Servers, request.Call.Backend, SendOutcome::Success, ctx.Time);
     ++request.PossibleRuns;
-    if (!request.Events.Partial.empty())
-      ctx.Out.push_back(StreamBytes{request.Id, std::move(request.Events.Partial)});
+    if (!request.Call.Events.Partial.empty())
+      ctx.Out.push_back(StreamBytes{request.Id, std::move(request.Call.Events.Partial)});
     detail::completeStream(ctx, request);
     return;
   }
-  if (!request.IsGenuine) {
+  if (!request.Call.IsGenuine) {
     detail::noteFailed(ctx, request);
     onLost(ctx, request, ResultCode::BackendBadAnswer);
     return;
@@ -221,13 +222,13 @@
   onContentAnswered(ctx, request);
   // These statuses tell callers that the request did not run. They are not forwarded from a server
   // that did not declare that.
-  const bool claimsNotRun = request.Status == 503 || request.Status == 429 ||
-                            request.Status == 408 || request.Status == 421;
-  if (request.Status >= 500 || claimsNotRun) {
+  const bool claimsNotRun = request.Call.Status == 503 || request.Call.Status == 429 ||
+                            request.Call.Status == 408 || request.Call.Status == 421;
+  if (request.Call.Status >= 500 || claimsNotRun) {
     request.LastFailure = ResultCode::BackendRefused;
-    if (request.Status >= 500)
+    if (request.Call.Status >= 500)
       detail::noteFailed(ctx, request);
-    recordOutcome(ctx.S.Servers, request.Backend, SendOutcome::ServerError, ctx.Time);
+    recordOutcome(ctx.S.Servers, request.Call.Backend, SendOutcome::ServerError, ctx.Time);
     ++request.PossibleRuns;
     if (detail::retryRequest(ctx, request, true))
       return;
@@ -238,9 +239,9 @@
     detail::forwardAnswer(ctx, request);
     return;
   }
-  if (request.Status < 400)
+  if (request.Call.Status < 400)
     detail::noteAnswer(ctx, request);
-  recordOutcome(ctx.S.Servers, request.Backend, SendOutcome::Success, ctx.Time);
+  recordOutcome(ctx.S.Servers, request.Call.Backend, SendOutcome::Success, ctx.Time);
   ++request.PossibleRuns;
   if (request.Stage == Stage::Streaming)
     detail::refuse(ctx, request, ResultCode::BackendBadAnswer, 0ms);
@@ -263,17 +264,17 @@
     onPauseStated(ctx, *request, head.NothingFor);
   if (head.NotRun || head.WrongServer) {
     if (head.Status == 400 && head.IsGenuine) {
-      request->Status = head.Status;
-      request->IsGenuine = true;
+      request->Call.Status = head.Status;
+      request->Call.IsGenuine = true;
       return;
     }
     onRejected(ctx, *request,
                head.WrongServer ? ResultCode::BackendConnectFailed : ResultCode::BackendRefused);
     return;
   }
-  request->Status = head.Status;
-  request->IsGenuine = head.IsGenuine;
-  request->AnswerBegan = request->LastProgress = now.Steady;
+  request->Call.Status = head.Status;
+  request->Call.IsGenuine = head.IsGenuine;
+  request->Call.AnswerBegan = request->Call.LastProgress = now.Steady;
   if (isStreamed(*request) && request->Stage != Stage::Streaming) {
     request->Stage = Stage::Streaming;
     out.push_back(BeginStream{request->Id, call});
@@ -290,10 +291,11 @@
   detail::onAnswerProgress(ctx, *request, false);
   if (isStreamed(*request)) {
     streamEvents(ctx, *request, bytes);
-    if (request->Events.Partial.size() > MaxEventBytes)
+    if (request->Call.Events.Partial.size() > MaxEventBytes)
       onExcess(ctx, *request, false);
   } else if (!collect(state, *request, bytes)) {
-    onExcess(ctx, *request, request->Body.size() + bytes.size() <= state.Settings.MaxAnswerBytes);
+    onExcess(ctx, *request,
+             request->Call.Body.size() + bytes.size() <= state.Settings.MaxAnswerBytes);
   }
 }
 
@@ -307,8 +309,8 @@
   case BackendEnd::Complete:
   case BackendEnd::Closed: {
     // A server that dies closes its connections too. Half an event, or no body at all, shows it.
-    const bool lacksBody = end == BackendEnd::Closed && !request->GotFirstByte;
-    if (lacksBody || (isStreamed(*request) && !request->Progress.AtBoundary))
+    const bool lacksBody = end == BackendEnd::Closed && !request->Call.GotFirstByte;
+    if (lacksBody || (isStreamed(*request) && !request->Call.Progress.AtBoundary))
       onBroken(ctx, *request);
     else
       onCompleteAnswer(ctx, *request);
@@ -318,7 +320,7 @@
     onExcess(ctx, *request, false);
     return;
   case BackendEnd::NotSent:
-    recordOutcome(state.Servers, request->Backend, SendOutcome::Broken, now);
+    recordOutcome(state.Servers, request->Call.Backend, SendOutcome::Broken, now);
     detail::noteUnreachable(ctx, *request);
     onRejected(ctx, *request, ResultCode::BackendConnectFailed);
     return;
@@ -340,32 +342,30 @@
 }
 
 bool isStalled(const ActiveRequest &request, const Now &now) {
-  return request.Stage == Stage::Streaming && request.Call != 0 &&
-         now.Steady - request.LastProgress > stallTimeout(*request.Route);
+  return request.Stage == Stage::Streaming && request.Call.Id != 0 &&
+         now.Steady - request.Call.LastProgress > stallTimeout(*request.Route);
 }
 
 void handleStalledCall(Context &ctx, ActiveRequest &request) {
-  const Duration silence = ctx.Time.Steady - request.LastProgress;
+  const Duration silence = ctx.Time.Steady - request.Call.LastProgress;
   const bool isPatienceOver = silence > callerPatience(*request.Route);
   if (!isPatienceOver && ctx.Time.Steady < request.NextMove)
     return;
   request.NextMove = ctx.Time.Steady + MovePeriod;
-  const std::string server = request.Backend;
-  const VersionUse versions = request.Versions;
-  const CallId call = request.Call;
+  const ServerCall silent = request.Call;
   if (isPatienceOver)
     noteTimeout(ctx, request);
   if (isPatienceOver || moveStalled(ctx, request)) {
     ctx.Out.push_back(IncrementCounter{"backend_misbehaved", "stalled"});
     logRequest(ctx, request, "stalled",
-               {{"silent_server", server}, {"silent_ms", formatMillis(silence)}});
+               {{"silent_server", silent.Backend}, {"silent_ms", formatMillis(silence)}});
   }
   if (isPatienceOver) {
     onLost(ctx, request, ResultCode::BackendTimeout);
-  } else if (request.Call != call) {
-    noteMoved(ctx, request, server, versions, silence);
-    recordOutcome(ctx.S.Servers, server, SendOutcome::Broken, ctx.Time);
-    ctx.Out.push_back(CancelBackend{call});
+  } else if (request.Call.Id != silent.Id) {
+    noteMoved(ctx, request, silent, silence);
+    recordOutcome(ctx.S.Servers, silent.Backend, SendOutcome::Broken, ctx.Time);
+    ctx.Out.push_back(CancelBackend{silent.Id});
   }
 }
 
--- a/packages/relay/Relay.cpp
+++ b/packages/relay/Relay.cpp
@@ -295,7 +295,7 @@
   for (const RequestId id : open) {
     ActiveRequest &request = state.ActiveRequests.at(id);
     // The request may have started to run in the current call.
-    if (request.Call != 0)
+    if (request.Call.Id != 0)
       ++request.PossibleRuns;
     detail::refuse(ctx, request, ResultCode::NodeLeaving, NodeLeavingRetryAfter);
   }
@@ -348,7 +348,7 @@
       detail::handleStalledCall(ctx, it->second);
   for (const RequestId id : timedOut)
     if (const auto it = state.ActiveRequests.find(id); it != state.ActiveRequests.end()) {
-      if (it->second.Call != 0)
+      if (it->second.Call.Id != 0)
         detail::noteTimeout(ctx, it->second);
       detail::refuseTimedOut(ctx, it->second);
     }
--- a/packages/relay/RelayTest.cpp
+++ b/packages/relay/RelayTest.cpp
@@ -429,12 +429,12 @@
         f.end(call, BackendEnd::Broken);
       } else if (what == 5) {
         // NotSent is possible only before the head of an answer.
-        if (f.S.ActiveRequests.at(id).Status == 0) {
+        if (f.S.ActiveRequests.at(id).Call.Status == 0) {
           open.erase(it);
           f.end(call, BackendEnd::NotSent);
         }
       } else if (what == 6) {
-        if (f.S.ActiveRequests.at(id).Status == 0) {
+        if (f.S.ActiveRequests.at(id).Call.Status == 0) {
           open.erase(it);
           f.head(call, 503, true, true);
         }
--- a/packages/relay/Rollouts.cpp
+++ b/packages/relay/Rollouts.cpp
@@ -97,8 +97,8 @@
         const ActiveRequest &request = it.second;
         if (request.Service != service)
           return false;
-        const bool isSent = request.Call != 0 || request.Stage == Stage::Streaming;
-        return isSent && request.Versions.Sent != target;
+        const bool isSent = request.Call.Id != 0 || request.Stage == Stage::Streaming;
+        return isSent && request.Call.Version != target;
       }));
 }
 
--- a/packages/relay/VersionUse.h
+++ b/packages/relay/VersionUse.h
@@ -2,10 +2,7 @@
 #ifndef CHERVIL_RELAY_VERSIONUSE_H
 #define CHERVIL_RELAY_VERSIONUSE_H
 
-#include "base/Time.h"
-
 #include <cstdint>
-#include <string>
 
 namespace chervil::relay {
 
@@ -18,15 +15,9 @@
   bool IsCovered = false;
   /// Number of the last report of the node when it was counted.
   std::uint64_t CountedAt = 0;
-  /// Version of the server of the current or last call. Empty unless Options::Rollouts is set.
-  std::string Sent;
   /// Failures that were noted as evidence, of a server of the target and of an old one.
   bool FailedAtTarget = false;
   bool FailedAtOld = false;
-  /// Events of the stream of the current call, and when the first and the last of them arrived.
-  unsigned Events = 0;
-  TimePoint FirstEvent{};
-  TimePoint LastEvent{};
 };
 
 } // namespace chervil::relay
--- a/packages/relay/detail/Dispatch.cpp
+++ b/packages/relay/detail/Dispatch.cpp
@@ -59,32 +59,25 @@
 void sendCall(Context &ctx, ActiveRequest &request, const Choice &choice) {
   const Backend &server = *choice.Server;
   State &state = ctx.S;
-  request.Call = state.NextCall++;
+  dropCollected(state, request);
   request.DeniedClaims = 0;
   request.IsRetrying = false;
-  request.Backend = server.Entry.Id;
-  request.Sent = ctx.Time.Steady;
   request.TriedServers.push_back(server.Entry.Id);
-  request.Status = 0;
-  request.IsGenuine = request.GotFirstByte = request.AnswerWentOn = false;
-  request.AnswerBegan = {};
-  dropCollected(state, request);
-  request.Events = {};
-  request.Progress = {};
-  request.LastProgress = ctx.Time.Steady;
+  request.Call = {.Id = state.NextCall++,
+                  .Backend = server.Entry.Id,
+                  .PendingTokens = choice.PendingTokens,
+                  .Figures = choice.Figures,
+                  .Sent = ctx.Time.Steady};
+  request.Call.LastProgress = ctx.Time.Steady;
   if (request.Stage != Stage::Streaming)
     request.Stage = Stage::Running;
-  state.Calls.emplace(request.Call, request.Id);
-  request.PendingTokens = choice.PendingTokens;
-  request.Figures = choice.Figures;
-  request.TimedEvents = 0;
-  request.EventsSince = {};
-  onRequestSent(state.Servers, request.Backend, request.PendingTokens);
+  state.Calls.emplace(request.Call.Id, request.Id);
+  onRequestSent(state.Servers, request.Call.Backend, request.Call.PendingTokens);
   onVersionSent(state, request, server);
   if (!request.Info.Prompt.empty())
-    onPromptSent(state.PrefillDemands[request.Service], request.PendingTokens, ctx.Time);
+    onPromptSent(state.PrefillDemands[request.Service], request.Call.PendingTokens, ctx.Time);
   CallBackend call;
-  call.Call = request.Call;
+  call.Call = request.Call.Id;
   call.Request = request.Id;
   call.AttemptId = request.Info.AttemptId;
   call.Backend = server.Entry.Id;
@@ -176,7 +169,7 @@
   const Choice choice = choose(ctx, request, criteria);
   if (choice.Server != nullptr)
     place(ctx, request, choice);
-  else if (ctx.Time.Steady - request.LastProgress > stallTimeout(*request.Route))
+  else if (ctx.Time.Steady - request.Call.LastProgress > stallTimeout(*request.Route))
     refuse(ctx, request, request.LastFailure, 0ms);
 }
 
@@ -216,7 +209,7 @@
 }
 
 bool waitsToResume(const ActiveRequest &request) {
-  return request.Stage == Stage::Streaming && request.Call == 0 && request.SendClaim == 0;
+  return request.Stage == Stage::Streaming && request.Call.Id == 0 && request.SendClaim == 0;
 }
 
 void placeAgain(Context &ctx, ActiveRequest &request) {
@@ -251,7 +244,7 @@
   SelectionCriteria criteria = criteriaOf(ctx, request);
   // A server that is only silent may go on. Its call is given up for a send that can be made now,
   // and not for a claim or a wait.
-  const bool isSilent = request.Call != 0 && request.LastFailure == ResultCode::BackendTimeout;
+  const bool isSilent = request.Call.Id != 0 && request.LastFailure == ResultCode::BackendTimeout;
   if (isSilent)
     criteria.Limited = SelectionCriteria::LimitedServers::None;
   const Choice choice = choose(ctx, request, criteria);
@@ -279,13 +272,14 @@
 }
 
 void endCall(Context &ctx, ActiveRequest &request, bool cancel) {
-  if (request.Call == 0)
+  if (request.Call.Id == 0)
     return;
-  ctx.S.Calls.erase(request.Call);
-  onRequestEnded(ctx.S.Servers, request.Backend, request.PendingTokens, request.GotFirstByte);
+  ctx.S.Calls.erase(request.Call.Id);
+  onRequestEnded(ctx.S.Servers, request.Call.Backend, request.Call.PendingTokens,
+                 request.Call.GotFirstByte);
   if (cancel)
-    ctx.Out.push_back(CancelBackend{request.Call});
-  request.Call = 0;
+    ctx.Out.push_back(CancelBackend{request.Call.Id});
+  request.Call.Id = 0;
 }
 
 void claimTokensIfNeeded(Context &ctx, const std::string &workspace,
--- a/packages/relay/detail/Evidence.cpp
+++ b/packages/relay/detail/Evidence.cpp
@@ -57,11 +57,11 @@
 /// Time of the answer, or of an event; empty if it is not known well enough.
 std::optional<double> timeOf(const ActiveRequest &request, const Now &now) {
   if (request.Stage != Stage::Streaming)
-    return millis(now.Steady - request.Sent);
-  const VersionUse &use = request.Versions;
-  if (use.Events < LeastEvents)
+    return millis(now.Steady - request.Call.Sent);
+  const ServerCall &call = request.Call;
+  if (call.EventCount < LeastEvents)
     return std::nullopt;
-  return millis(use.LastEvent - use.FirstEvent) / (use.Events - 1);
+  return millis(call.LastEventAt - call.FirstEventAt) / (call.EventCount - 1);
 }
 
 bool isSlow(double time, double usual, unsigned answers) {
@@ -95,16 +95,16 @@
 /// Notes that the request failed at the version of its server. Returns the rollout if that is
 /// evidence.
 ServiceRollout *onFailure(Context &ctx, ActiveRequest &request) {
-  ServiceRollout *rollout = judgedRollout(ctx.S, request, request.Versions.Sent);
+  ServiceRollout *rollout = judgedRollout(ctx.S, request, request.Call.Version);
   if (rollout == nullptr)
     return nullptr;
   joinOrder(*rollout, request);
   VersionUse &use = request.Versions;
-  const bool target = isTarget(*rollout, use.Sent);
+  const bool target = isTarget(*rollout, request.Call.Version);
   // The next send goes to an old server unless nothing may go there any more.
   if (target && !rollout::isClosed(rollout->Share, ctx.Time))
     use.Target = use.IsCovered = false;
-  if (request.IsProbe || usedServer(ctx.S, request.Backend) == nullptr ||
+  if (request.IsProbe || usedServer(ctx.S, request.Call.Backend) == nullptr ||
       isQuarantined(ctx.S, request.Info.ContentHash, sharedParts(request.Info.Prompt), ctx.Time))
     return nullptr;
   bool &here = target ? use.FailedAtTarget : use.FailedAtOld;
@@ -165,14 +165,14 @@
 void noteAnswer(Context &ctx, const ActiveRequest &request) {
   if (!ctx.S.Settings.Rollouts)
     return;
-  const Backend *server = usedServer(ctx.S, request.Backend);
+  const Backend *server = usedServer(ctx.S, request.Call.Backend);
   if (server == nullptr || request.IsProbe)
     return;
   const bool isWarm = ctx.Time.Steady >= server->WarmUntil;
   const std::optional<double> time = timeOf(request, ctx.Time);
-  const double head = millis(request.AnswerBegan - request.Sent);
+  const double head = millis(request.Call.AnswerBegan - request.Call.Sent);
   UsualTime &usual = usualTime(ctx.S, request);
-  const std::string &version = request.Versions.Sent;
+  const std::string &version = request.Call.Version;
   ServiceRollout *rollout = judgedRollout(ctx.S, request, version);
   if (rollout == nullptr) {
     if (time && isWarm)
@@ -180,7 +180,7 @@
     return;
   }
   std::erase_if(rollout->Broken, [&](const BrokenAnswer &it) {
-    const bool isAlive = it.Backend == request.Backend && request.Sent >= it.At;
+    const bool isAlive = it.Backend == request.Call.Backend && request.Call.Sent >= it.At;
     if (isAlive)
       countBroken(*rollout, it);
     return isAlive;
@@ -196,30 +196,30 @@
 }
 
 void noteEvent(ActiveRequest &request, const Now &now) {
-  VersionUse &use = request.Versions;
-  if (use.Events++ == 0)
-    use.FirstEvent = now.Steady;
-  use.LastEvent = now.Steady;
+  ServerCall &call = request.Call;
+  if (call.EventCount++ == 0)
+    call.FirstEventAt = now.Steady;
+  call.LastEventAt = now.Steady;
 }
 
 void noteFailed(Context &ctx, ActiveRequest &request) {
   if (ServiceRollout *rollout = onFailure(ctx, request))
-    rollout::onAnswer(rollout->Share, request.Route->Name,
-                      isTarget(*rollout, request.Versions.Sent), AnswerQuality::Failed);
+    rollout::onAnswer(rollout->Share, request.Route->Name, isTarget(*rollout, request.Call.Version),
+                      AnswerQuality::Failed);
 }
 
 void noteBroken(Context &ctx, ActiveRequest &request) {
   ServiceRollout *rollout = onFailure(ctx, request);
-  const Backend *server = find(ctx.S.Servers, request.Backend);
+  const Backend *server = find(ctx.S.Servers, request.Call.Backend);
   if (rollout == nullptr || server == nullptr || rollout->Broken.size() >= MaxBroken)
     return;
   BrokenAnswer it;
   it.Request = request.Id;
-  it.Backend = request.Backend;
+  it.Backend = request.Call.Backend;
   it.Born = server->Entry.Born;
   it.At = ctx.Time.Steady;
   it.Route = request.Route->Name;
-  it.Target = isTarget(*rollout, request.Versions.Sent);
+  it.Target = isTarget(*rollout, request.Call.Version);
   it.ContentHash = request.Info.ContentHash;
   it.Parts = sharedParts(request.Info.Prompt);
   it.OthersInflight = server->Inflight - std::min(1U, server->Inflight);
@@ -231,7 +231,7 @@
   if (rollout == nullptr)
     return;
   std::erase_if(rollout->Broken, [&](const BrokenAnswer &it) {
-    if (it.Backend != request.Backend)
+    if (it.Backend != request.Call.Backend)
       return false;
     forget(ctx.S, it);
     return true;
@@ -239,23 +239,23 @@
 }
 
 void noteTimeout(Context &ctx, const ActiveRequest &request) {
-  const std::string &version = request.Versions.Sent;
+  const std::string &version = request.Call.Version;
   if (request.Stage == Stage::Streaming)
-    noteGivenUp(ctx, request, request.Backend, version,
-                std::max(millis(ctx.Time.Steady - request.LastProgress),
+    noteGivenUp(ctx, request, request.Call.Backend, version,
+                std::max(millis(ctx.Time.Steady - request.Call.LastProgress),
                          timeOf(request, ctx.Time).value_or(0)),
                 &UsualTime::Answer);
   else if (request.Route->Kind == RouteKind::Stream)
-    noteGivenUp(ctx, request, request.Backend, version, millis(ctx.Time.Steady - request.Sent),
-                &UsualTime::Head);
+    noteGivenUp(ctx, request, request.Call.Backend, version,
+                millis(ctx.Time.Steady - request.Call.Sent), &UsualTime::Head);
   else
-    noteGivenUp(ctx, request, request.Backend, version, millis(ctx.Time.Steady - request.Sent),
-                &UsualTime::Answer);
+    noteGivenUp(ctx, request, request.Call.Backend, version,
+                millis(ctx.Time.Steady - request.Call.Sent), &UsualTime::Answer);
 }
 
-void noteMoved(Context &ctx, const ActiveRequest &request, const std::string &server,
-               const VersionUse &versions, Duration silence) {
-  noteGivenUp(ctx, request, server, versions.Sent, millis(silence), &UsualTime::Answer);
+void noteMoved(Context &ctx, const ActiveRequest &request, const ServerCall &silent,
+               Duration silence) {
+  noteGivenUp(ctx, request, silent.Backend, silent.Version, millis(silence), &UsualTime::Answer);
 }
 
 void judgeBroken(State &state, ServiceRollout &rollout, const Now &now) {
--- a/packages/relay/detail/Limits.cpp
+++ b/packages/relay/detail/Limits.cpp
@@ -105,13 +105,13 @@
 namespace detail {
 
 void onLimitStated(Context &ctx, const ActiveRequest &request, const StatedLimit &stated) {
-  Backend *server = find(ctx.S.Servers, request.Backend);
+  Backend *server = find(ctx.S.Servers, request.Call.Backend);
   if (server == nullptr || stated.Type == StatedLimit::Kind::Unknown)
     return;
   const bool isLimited = stated.Type == StatedLimit::Kind::Limited;
   // Answers may overtake each other: one to a request that was sent before the last statement
   // arrived may be older than that.
-  if (!isLimited && (!server->Limit || request.Sent < server->Limit->StatedAt))
+  if (!isLimited && (!server->Limit || request.Call.Sent < server->Limit->StatedAt))
     return;
   const RequestLimit limit{isLimited ? std::optional(stated.PerSecond) : std::nullopt,
                            ctx.Time.Steady, NoticeSource::Answer};
--- a/packages/relay/detail/Outcome.cpp
+++ b/packages/relay/detail/Outcome.cpp
@@ -42,7 +42,7 @@
 
 /// Appends the estimates by which the server of a late request was chosen.
 void appendFigures(const ActiveRequest &request, LogFields &fields) {
-  const ChoiceFigures &it = request.Figures;
+  const ChoiceFigures &it = request.Call.Figures;
   const bool isLate = request.FirstByte != TimePoint{} &&
                       request.FirstByte - request.Arrived > request.Route->Target;
   if (!isLate || it.Candidates == 0)
@@ -80,7 +80,7 @@
 void logRequest(Context &ctx, const ActiveRequest &request, const char *event, LogFields fields) {
   fields.emplace_back("route", request.Route->Name);
   fields.emplace_back("workspace", request.Workspace);
-  fields.emplace_back("backend", request.Backend);
+  fields.emplace_back("backend", request.Call.Backend);
   fields.emplace_back("runs", std::to_string(request.PossibleRuns));
   fields.emplace_back("sends", std::to_string(request.TriedServers.size()));
   if (request.FirstByte != TimePoint{})
@@ -109,7 +109,7 @@
 
 void refuseTimedOut(Context &ctx, ActiveRequest &request) {
   // The request may have started to run in the current call.
-  if (request.Call != 0)
+  if (request.Call.Id != 0)
     ++request.PossibleRuns;
   const bool mayHaveRun = request.PossibleRuns > 0;
   refuseWithStatus(ctx, request,
@@ -119,25 +119,26 @@
 
 void forwardAnswer(Context &ctx, ActiveRequest &request) {
   ctx.Out.push_back(
-      IncrementCounter{"answered", request.Status < 400 ? "success" : "backend_failure"});
-  logRequest(ctx, request, "answered", {{"status", std::to_string(request.Status)}});
-  ctx.S.CollectedBytes -= request.Body.size();
-  ctx.Out.push_back(ForwardAnswer{request.Id, request.Call, std::exchange(request.Body, {})});
+      IncrementCounter{"answered", request.Call.Status < 400 ? "success" : "backend_failure"});
+  logRequest(ctx, request, "answered", {{"status", std::to_string(request.Call.Status)}});
+  ctx.S.CollectedBytes -= request.Call.Body.size();
+  ctx.Out.push_back(
+      ForwardAnswer{request.Id, request.Call.Id, std::exchange(request.Call.Body, {})});
   endCall(ctx, request, false);
   removeRequest(ctx, request);
 }
 
 void completeStream(Context &ctx, ActiveRequest &request) {
   ctx.Out.push_back(IncrementCounter{"answered", "stream"});
-  logRequest(ctx, request, "answered", {{"status", std::to_string(request.Status)}});
+  logRequest(ctx, request, "answered", {{"status", std::to_string(request.Call.Status)}});
   ctx.Out.push_back(EndStream{request.Id});
   endCall(ctx, request, false);
   removeRequest(ctx, request);
 }
 
 void dropCollected(State &state, ActiveRequest &request) {
-  state.CollectedBytes -= request.Body.size();
-  request.Body = {};
+  state.CollectedBytes -= request.Call.Body.size();
+  request.Call.Body = {};
 }
 
 void removeRequest(Context &ctx, ActiveRequest &request) {
--- a/packages/relay/detail/SuspectParts.cpp
+++ b/packages/relay/detail/SuspectParts.cpp
@@ -15,8 +15,8 @@
 }
 
 bool hasJustBegun(const ActiveRequest &request, const Now &now) {
-  return request.AnswerBegan != TimePoint{} && !request.AnswerWentOn &&
-         (!request.GotFirstByte || now.Steady - request.AnswerBegan < AnswerBeginTime);
+  return request.Call.AnswerBegan != TimePoint{} && !request.Call.AnswerWentOn &&
+         (!request.Call.GotFirstByte || now.Steady - request.Call.AnswerBegan < AnswerBeginTime);
 }
 
 std::string formatParts(const std::vector<std::uint64_t> &parts) {
@@ -39,17 +39,17 @@
     return;
   logRequest(ctx, request, "prompt_suspect", {{"parts", formatParts(parts)}});
   ctx.Out.push_back(IncrementCounter{"backend_misbehaved", "broke_at_begin"});
-  share(ctx, retry::recordDeath(ctx.S.PartQuarantine, startHash(ctx.S, request.Backend),
+  share(ctx, retry::recordDeath(ctx.S.PartQuarantine, startHash(ctx.S, request.Call.Backend),
                                 {std::move(parts)}, ctx.Time));
 }
 
 void onAnswerProgress(Context &ctx, ActiveRequest &request, bool isComplete) {
-  if (request.AnswerWentOn || request.Info.Prompt.size() < 2)
+  if (request.Call.AnswerWentOn || request.Info.Prompt.size() < 2)
     return;
   if (!isComplete &&
-      (!request.GotFirstByte || ctx.Time.Steady - request.AnswerBegan < AnswerBeginTime))
+      (!request.Call.GotFirstByte || ctx.Time.Steady - request.Call.AnswerBegan < AnswerBeginTime))
     return;
-  request.AnswerWentOn = true;
+  request.Call.AnswerWentOn = true;
   share(ctx,
         retry::recordSuccess(ctx.S.PartQuarantine, sharedParts(request.Info.Prompt), ctx.Time));
 }
@@ -63,13 +63,13 @@
     ctx.Out.push_back(LogRecord{"parts_quarantined", "", {{"parts", formatParts(it)}}});
   std::vector<RequestId> refused;
   for (const auto &[id, request] : ctx.S.ActiveRequests)
-    if (request.AnswerBegan == TimePoint{} && !request.IsProbe &&
+    if (request.Call.AnswerBegan == TimePoint{} && !request.IsProbe &&
         retry::isQuarantined(ctx.S.PartQuarantine, sharedParts(request.Info.Prompt)))
       refused.push_back(id);
   for (const RequestId id : refused) {
     ActiveRequest &request = ctx.S.ActiveRequests.at(id);
     // The server may have begun to run it.
-    request.PossibleRuns += request.Call != 0 ? 1 : 0;
+    request.PossibleRuns += request.Call.Id != 0 ? 1 : 0;
     refuse(ctx, request, ResultCode::Quarantined, QuarantineRetryAfter);
   }
 }
--- a/packages/relay/detail/Versions.cpp
+++ b/packages/relay/detail/Versions.cpp
@@ -60,7 +60,7 @@
     return;
   use.Order = grant.Order;
   use.IsCovered = use.FailedAtTarget = use.FailedAtOld = false;
-  use.Target = !request.TriedServers.empty() && use.Sent == grant.Target;
+  use.Target = !request.TriedServers.empty() && request.Call.Version == grant.Target;
 }
 
 std::optional<VersionFilter> versionsFor(State &state, ActiveRequest &request, const Now &now,
@@ -80,8 +80,8 @@
   if (request.Stage == Stage::Streaming) {
     // Another version may continue the stream differently.
     out.Listed = Only;
-    out.Version = use.Sent;
-    out.IsTarget = isDivided(*rollout) && use.Sent == grant.Target;
+    out.Version = request.Call.Version;
+    out.IsTarget = isDivided(*rollout) && request.Call.Version == grant.Target;
     if (out.IsTarget && !isTargetAllowed(*rollout, use, now))
       out.Listed = None;
     return out;
@@ -117,7 +117,7 @@
 bool waitsForUnit(State &state, const ActiveRequest &request, const Now &now) {
   const ServiceRollout *rollout = findRollout(state, request.Service);
   return rollout != nullptr && isDivided(*rollout) && request.Stage == Stage::Streaming &&
-         request.Versions.Sent == rollout->Share.Grant.Target &&
+         request.Call.Version == rollout->Share.Grant.Target &&
          !isTargetAllowed(*rollout, request.Versions, now);
 }
 
@@ -125,13 +125,11 @@
   if (!state.Settings.Rollouts)
     return;
   VersionUse &use = request.Versions;
-  use.Sent = server.Entry.Version;
-  use.Events = 0;
-  use.FirstEvent = use.LastEvent = {};
+  request.Call.Version = server.Entry.Version;
   ServiceRollout *rollout = findRollout(state, request.Service);
   if (rollout == nullptr || !isOpen(*rollout))
     return;
-  const bool isTarget = use.Sent == rollout->Share.Grant.Target;
+  const bool isTarget = request.Call.Version == rollout->Share.Grant.Target;
   if (isTarget && !use.IsCovered)
     rollout::takeAnother(rollout->Share);
   use.Target = isTarget;
