relay: a silent server is left when another has taken the stream

Cause: after half of the callers' patience the call to the silent server was given up as soon as another one had been chosen, before that one had answered. A refusal of it left the stream without a server. Change: the silent call stays open (ActiveRequest::SilentCall) while the other server is asked. It ends when that server has answered with the head of the stream; a refusal or failure of that server leaves the stream with the silent one and asks the next. If the silent server goes on first, the other call ends. Both count against max-attempts while they are open. The silence is still evidence in a rollout when the next server is asked, and the end of that answer is not counted again. Three cases of RelayTroubledServers asked for the cancellation when the other server was chosen, which is the fault: they now ask for none until that server has answered, and for it then. Another server is asked after the same time as before (DarkServersAreLeftOneAfterTheOther).

--- a/packages/relay/ActiveRequest.h
+++ b/packages/relay/ActiveRequest.h
@@ -10,6 +10,7 @@
 #include "relay/ServerCall.h"
 #include "relay/VersionUse.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,10 @@
   relay::Stage Stage = Stage::WaitingForTokens;
   /// The current call to a server, or the last one.
   ServerCall Call;
+  /// The silent call of a stream while the current one asks another server to continue it. It is
+  /// given up when that server has taken the request, and becomes the current call again if that
+  /// server fails.
+  std::optional<ServerCall> SilentCall;
   /// Number of the claim to send it to a server with a limit; 0 if none is pending.
   std::uint64_t SendClaim = 0;
   /// Claims denied since servers were last considered for it.
--- a/packages/relay/BackendEvents.cpp
+++ b/packages/relay/BackendEvents.cpp
@@ -21,23 +21,12 @@
 constexpr auto ServersFullRetryAfter = 800ms;
 // Largest event of a stream. An event without end would otherwise be collected without bound.
 constexpr std::size_t MaxEventBytes = 256 * 1024;
-// Time between two attempts to find another server for a stream whose server is silent.
-constexpr Duration MovePeriod = 200ms;
 // Successive events whose time is one sample of a server's speed: enough to average over the steps
 // of an engine, and few enough for several samples a second.
 constexpr unsigned EventsPerSample = 16;
 // Answers up to this size are collected even if the bound of all answers is reached.
 constexpr std::size_t SmallAnswerBytes = 64 * 1024;
 
-/// Returns the request of a call; null if the call has ended.
-ActiveRequest *findRequest(State &state, CallId call) {
-  const auto it = state.Calls.find(call);
-  if (it == state.Calls.end())
-    return nullptr;
-  const auto request = state.ActiveRequests.find(it->second);
-  return request == state.ActiveRequests.end() ? nullptr : &request->second;
-}
-
 /// Handles the first byte of an answer.
 void onAnswerStarted(Context &ctx, ActiveRequest &request) {
   if (request.Call.GotFirstByte)
@@ -62,32 +51,12 @@
   request.LastFailure = why;
   recordOutcome(ctx.S.Servers, request.Call.Backend, SendOutcome::Full, ctx.Time);
   detail::endCall(ctx, request, true);
+  if (detail::returnToSilentCall(ctx, request))
+    return;
   if (!detail::retryRequest(ctx, request, false))
     detail::refuse(ctx, request, why, ServersFullRetryAfter);
 }
 
-/// Handles a call whose server may have run the request, without an answer that could be forwarded.
-void onLost(Context &ctx, ActiveRequest &request, ResultCode why) {
-  request.LastFailure = why;
-  ++request.PossibleRuns;
-  recordOutcome(ctx.S.Servers, request.Call.Backend, SendOutcome::Broken, ctx.Time);
-  detail::endCall(ctx, request, true);
-  if (!detail::retryRequest(ctx, request, true))
-    detail::refuse(ctx, request, why, 0ms);
-}
-
-/// Lets another server continue a stream whose server is silent. Returns false, and changes
-/// nothing, if that is not allowed now or none can be had.
-bool moveStalled(Context &ctx, ActiveRequest &request) {
-  const ResultCode before = std::exchange(request.LastFailure, ResultCode::BackendTimeout);
-  ++request.PossibleRuns;
-  if (detail::retryRequest(ctx, request, true))
-    return true;
-  --request.PossibleRuns;
-  request.LastFailure = before;
-  return false;
-}
-
 /// Handles an answer whose server says that it is leaving.
 void onLeavingStated(Context &ctx, const ActiveRequest &request) {
   const Backend *server = find(ctx.S.Servers, request.Call.Backend);
@@ -128,8 +97,8 @@
   }
   detail::onAnswerBroke(ctx, request);
   detail::noteBroken(ctx, request);
-  onLost(ctx, request,
-         request.Call.Status != 0 ? ResultCode::BackendBadAnswer : ResultCode::BackendDied);
+  detail::onLost(ctx, request,
+                 request.Call.Status != 0 ? ResultCode::BackendBadAnswer : ResultCode::BackendDied);
 }
 
 /// Counts an event of a stream for the speed of its server.
@@ -163,6 +132,8 @@
 void streamEvents(Context &ctx, ActiveRequest &request, std::string_view bytes) {
   if (advance(request.Call.Progress, bytes)) {
     request.Call.LastProgress = ctx.Time.Steady;
+    // A server that was silent goes on.
+    detail::endOtherCall(ctx, request);
     timeEvent(ctx, request);
     detail::noteEvent(request, ctx.Time);
   }
@@ -198,7 +169,7 @@
     detail::noteFailed(ctx, request);
   detail::logRequest(ctx, request, "answer_too_large",
                      {{"collected", std::to_string(request.Call.Body.size())}});
-  onLost(ctx, request, ResultCode::BackendBadAnswer);
+  detail::onLost(ctx, request, ResultCode::BackendBadAnswer);
 }
 
 /// Handles a call that ended with a complete answer.
@@ -216,7 +187,7 @@
   }
   if (!request.Call.IsGenuine) {
     detail::noteFailed(ctx, request);
-    onLost(ctx, request, ResultCode::BackendBadAnswer);
+    detail::onLost(ctx, request, ResultCode::BackendBadAnswer);
     return;
   }
   onContentAnswered(ctx, request);
@@ -230,7 +201,7 @@
       detail::noteFailed(ctx, request);
     recordOutcome(ctx.S.Servers, request.Call.Backend, SendOutcome::ServerError, ctx.Time);
     ++request.PossibleRuns;
-    if (detail::retryRequest(ctx, request, true))
+    if (detail::returnToSilentCall(ctx, request) || detail::retryRequest(ctx, request, true))
       return;
     if (claimsNotRun || request.Stage == Stage::Streaming) {
       detail::refuse(ctx, request, ResultCode::BackendRefused, 0ms);
@@ -243,131 +214,125 @@
     detail::noteAnswer(ctx, request);
   recordOutcome(ctx.S.Servers, request.Call.Backend, SendOutcome::Success, ctx.Time);
   ++request.PossibleRuns;
-  if (request.Stage == Stage::Streaming)
-    detail::refuse(ctx, request, ResultCode::BackendBadAnswer, 0ms);
-  else
+  if (request.Stage != Stage::Streaming) {
     detail::forwardAnswer(ctx, request);
+    return;
+  }
+  request.LastFailure = ResultCode::BackendBadAnswer;
+  if (!detail::returnToSilentCall(ctx, request))
+    detail::refuse(ctx, request, request.LastFailure, 0ms);
 }
 
-} // namespace
-
-void onBackendHead(State &state, CallId call, const BackendHead &head, Effects &out, const Now &now,
-                   Random &rng) {
-  ActiveRequest *request = findRequest(state, call);
-  if (request == nullptr)
-    return;
-  Context ctx{state, out, now, rng};
-  detail::onLimitStated(ctx, *request, head.Limit);
+/// Handles the head of an answer.
+void onHead(Context &ctx, ActiveRequest &request, const BackendHead &head) {
+  detail::onLimitStated(ctx, request, head.Limit);
   if (head.Leaving)
-    onLeavingStated(ctx, *request);
+    onLeavingStated(ctx, request);
   if (head.NothingFor > 0ms)
-    onPauseStated(ctx, *request, head.NothingFor);
+    onPauseStated(ctx, request, head.NothingFor);
   if (head.NotRun || head.WrongServer) {
     if (head.Status == 400 && head.IsGenuine) {
-      request->Call.Status = head.Status;
-      request->Call.IsGenuine = true;
+      request.Call.Status = head.Status;
+      request.Call.IsGenuine = true;
       return;
     }
-    onRejected(ctx, *request,
+    onRejected(ctx, request,
                head.WrongServer ? ResultCode::BackendConnectFailed : ResultCode::BackendRefused);
     return;
   }
-  request->Call.Status = head.Status;
-  request->Call.IsGenuine = head.IsGenuine;
-  request->Call.AnswerBegan = request->Call.LastProgress = now.Steady;
-  if (isStreamed(*request) && request->Stage != Stage::Streaming) {
-    request->Stage = Stage::Streaming;
-    out.push_back(BeginStream{request->Id, call});
+  request.Call.Status = head.Status;
+  request.Call.IsGenuine = head.IsGenuine;
+  request.Call.AnswerBegan = request.Call.LastProgress = ctx.Time.Steady;
+  if (!isStreamed(request))
+    return;
+  detail::endOtherCall(ctx, request);
+  if (request.Stage != Stage::Streaming) {
+    request.Stage = Stage::Streaming;
+    ctx.Out.push_back(BeginStream{request.Id, request.Call.Id});
   }
 }
 
-void onBackendBytes(State &state, CallId call, std::string_view bytes, Effects &out, const Now &now,
-                    Random &rng) {
-  ActiveRequest *request = findRequest(state, call);
-  if (request == nullptr)
-    return;
-  Context ctx{state, out, now, rng};
-  onAnswerStarted(ctx, *request);
-  detail::onAnswerProgress(ctx, *request, false);
-  if (isStreamed(*request)) {
-    streamEvents(ctx, *request, bytes);
-    if (request->Call.Events.Partial.size() > MaxEventBytes)
-      onExcess(ctx, *request, false);
-  } else if (!collect(state, *request, bytes)) {
-    onExcess(ctx, *request,
-             request->Call.Body.size() + bytes.size() <= state.Settings.MaxAnswerBytes);
+/// Handles bytes of the body of an answer.
+void onBytes(Context &ctx, ActiveRequest &request, std::string_view bytes) {
+  onAnswerStarted(ctx, request);
+  detail::onAnswerProgress(ctx, request, false);
+  if (isStreamed(request)) {
+    streamEvents(ctx, request, bytes);
+    if (request.Call.Events.Partial.size() > MaxEventBytes)
+      onExcess(ctx, request, false);
+  } else if (!collect(ctx.S, request, bytes)) {
+    onExcess(ctx, request,
+             request.Call.Body.size() + bytes.size() <= ctx.S.Settings.MaxAnswerBytes);
   }
 }
 
-void onBackendEnd(State &state, CallId call, BackendEnd end, Effects &out, const Now &now,
-                  Random &rng) {
-  ActiveRequest *request = findRequest(state, call);
-  if (request == nullptr)
-    return;
-  Context ctx{state, out, now, rng};
+/// Handles the end of a call.
+void onEnd(Context &ctx, ActiveRequest &request, BackendEnd end) {
   switch (end) {
   case BackendEnd::Complete:
   case BackendEnd::Closed: {
     // A server that dies closes its connections too. Half an event, or no body at all, shows it.
-    const bool lacksBody = end == BackendEnd::Closed && !request->Call.GotFirstByte;
-    if (lacksBody || (isStreamed(*request) && !request->Call.Progress.AtBoundary))
-      onBroken(ctx, *request);
+    const bool lacksBody = end == BackendEnd::Closed && !request.Call.GotFirstByte;
+    if (lacksBody || (isStreamed(request) && !request.Call.Progress.AtBoundary))
+      onBroken(ctx, request);
     else
-      onCompleteAnswer(ctx, *request);
+      onCompleteAnswer(ctx, request);
     return;
   }
   case BackendEnd::Excessive:
-    onExcess(ctx, *request, false);
+    onExcess(ctx, request, false);
     return;
   case BackendEnd::NotSent:
-    recordOutcome(state.Servers, request->Call.Backend, SendOutcome::Broken, now);
-    detail::noteUnreachable(ctx, *request);
-    onRejected(ctx, *request, ResultCode::BackendConnectFailed);
+    recordOutcome(ctx.S.Servers, request.Call.Backend, SendOutcome::Broken, ctx.Time);
+    detail::noteUnreachable(ctx, request);
+    onRejected(ctx, request, ResultCode::BackendConnectFailed);
     return;
   case BackendEnd::Broken:
-    onBroken(ctx, *request);
+    onBroken(ctx, request);
     return;
   }
 }
 
-namespace detail {
-
-Duration callerPatience(const Route &route) {
-  return std::max({MinStallTimeout, Duration(StallTargets * route.Target),
-                   Duration(StallGaps * route.GapTarget)});
+/// Handles an event of a call, which is the current call of its request meanwhile. Ignores events
+/// of calls that have ended.
+template <typename Handler> void handleEvent(State &state, CallId call, const Handler &handler) {
+  const auto it = state.Calls.find(call);
+  if (it == state.Calls.end())
+    return;
+  const RequestId id = it->second;
+  const auto request = state.ActiveRequests.find(id);
+  if (request == state.ActiveRequests.end())
+    return;
+  if (request->second.Call.Id != call)
+    std::swap(request->second.Call, *request->second.SilentCall);
+  handler(request->second);
+  // The event may have ended the request.
+  const auto left = state.ActiveRequests.find(id);
+  if (left == state.ActiveRequests.end() || !left->second.SilentCall)
+    return;
+  ActiveRequest &open = left->second;
+  if (open.SilentCall->Id > open.Call.Id)
+    std::swap(open.Call, *open.SilentCall);
 }
 
-Duration stallTimeout(const Route &route) {
-  return route.Resumable ? callerPatience(route) / 2 : callerPatience(route);
+} // namespace
+
+void onBackendHead(State &state, CallId call, const BackendHead &head, Effects &out, const Now &now,
+                   Random &rng) {
+  Context ctx{state, out, now, rng};
+  handleEvent(state, call, [&](ActiveRequest &request) { onHead(ctx, request, head); });
 }
 
-bool isStalled(const ActiveRequest &request, const Now &now) {
-  return request.Stage == Stage::Streaming && request.Call.Id != 0 &&
-         now.Steady - request.Call.LastProgress > stallTimeout(*request.Route);
+void onBackendBytes(State &state, CallId call, std::string_view bytes, Effects &out, const Now &now,
+                    Random &rng) {
+  Context ctx{state, out, now, rng};
+  handleEvent(state, call, [&](ActiveRequest &request) { onBytes(ctx, request, bytes); });
 }
 
-void handleStalledCall(Context &ctx, ActiveRequest &request) {
-  const Duration silence = ctx.Time.Steady - request.Call.LastProgress;
-  const bool isPatienceOver = silence > callerPatience(*request.Route);
-  if (!isPatienceOver && ctx.Time.Steady < request.NextMove)
-    return;
-  request.NextMove = ctx.Time.Steady + MovePeriod;
-  const ServerCall silent = request.Call;
-  if (isPatienceOver)
-    noteTimeout(ctx, request);
-  if (isPatienceOver || moveStalled(ctx, request)) {
-    ctx.Out.push_back(IncrementCounter{"backend_misbehaved", "stalled"});
-    logRequest(ctx, request, "stalled",
-               {{"silent_server", silent.Backend}, {"silent_ms", formatMillis(silence)}});
-  }
-  if (isPatienceOver) {
-    onLost(ctx, request, ResultCode::BackendTimeout);
-  } else if (request.Call.Id != silent.Id) {
-    noteMoved(ctx, request, silent, silence);
-    recordOutcome(ctx.S.Servers, silent.Backend, SendOutcome::Broken, ctx.Time);
-    ctx.Out.push_back(CancelBackend{silent.Id});
-  }
+void onBackendEnd(State &state, CallId call, BackendEnd end, Effects &out, const Now &now,
+                  Random &rng) {
+  Context ctx{state, out, now, rng};
+  handleEvent(state, call, [&](ActiveRequest &request) { onEnd(ctx, request, end); });
 }
 
-} // namespace detail
 } // namespace chervil::relay
--- a/packages/relay/RolloutEvidenceTest.cpp
+++ b/packages/relay/RolloutEvidenceTest.cpp
@@ -310,6 +310,10 @@
   BOOST_TEST(f.call().Call != silent);
   BOOST_TEST(f.versionOf(f.call()) == "v2");
   BOOST_TEST(f.counts(true, "model").Slow == 1U);
+  // The same answer is not counted again if its server goes on.
+  f.bytes(silent, "data: x\n\n");
+  f.end(silent, BackendEnd::Complete);
+  BOOST_TEST(f.counts(true, "model").Answers == 1U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/relay/ServerCall.h
+++ b/packages/relay/ServerCall.h
@@ -46,6 +46,8 @@
   unsigned EventCount = 0;
   TimePoint FirstEventAt{};
   TimePoint LastEventAt{};
+  /// A silence of the server was noted as a slow answer, so that the end of the call is not noted.
+  bool IsNotedSlow = false;
   /// Events since EventsSince, which is the epoch before the first one.
   unsigned TimedEvents = 0;
   TimePoint EventsSince{};
--- a/packages/relay/TroubledServersTest.cpp
+++ b/packages/relay/TroubledServersTest.cpp
@@ -235,6 +235,8 @@
   const CallBackend second = f.call();
   BOOST_TEST(second.Backend != first.Backend);
   BOOST_TEST(second.ResumeAfter == "1");
+  BOOST_TEST(f.all<CancelBackend>().empty());
+  f.head(second.Call, 200);
   BOOST_TEST(f.only<CancelBackend>().Call == first.Call);
 }
 
@@ -256,7 +258,8 @@
     BOOST_TEST(f.all<CallBackend>().size() == left);
     f.wait(20ms);
     BOOST_TEST(f.all<CallBackend>().size() == left + 1);
-    BOOST_TEST(f.all<CancelBackend>().size() == left);
+    // One silent server is kept beside the one that was asked last.
+    BOOST_TEST(f.all<CancelBackend>().size() == left - 1);
   }
   BOOST_TEST(f.call().ResumeAfter == "1");
 }
@@ -319,6 +322,8 @@
   f.S.Settings.RetrySlack = 100;
   f.wait(250ms);
   BOOST_TEST(f.call().Backend != first.Backend);
+  BOOST_TEST(f.all<CancelBackend>().empty());
+  f.head(f.call().Call, 200);
   BOOST_TEST(f.only<CancelBackend>().Call == first.Call);
 }
 
--- a/packages/relay/detail/BackendCalls.h
+++ b/packages/relay/detail/BackendCalls.h
@@ -1,5 +1,8 @@
-// Ends calls to backend servers whose answer has begun and makes no progress. Internal to the
-// package.
+// Calls to backend servers that fail or make no progress. Internal to the package.
+//
+// A stream whose server is silent has two calls for a time: the silent one, and one that asks
+// another server to continue the stream. Only the first of them that can is passed on to the
+// caller.
 #ifndef CHERVIL_RELAY_DETAIL_BACKENDCALLS_H
 #define CHERVIL_RELAY_DETAIL_BACKENDCALLS_H
 
@@ -23,11 +26,22 @@
 /// True if the answer of the current call has begun and made no progress for stallTimeout().
 bool isStalled(const ActiveRequest &request, const Now &now);
 
-/// Lets another server continue the stream if the route allows it and one can be had. If none can,
-/// the present call goes on, and the stream is aborted once the caller's patience is over.
-/// `request` may no longer exist after the call.
+/// Asks another server to continue the stream if the route allows it and one can be had. If none
+/// can, the present call goes on alone, and ends once the caller's patience is over. `request` may
+/// no longer exist after the call.
 void handleStalledCall(Context &ctx, ActiveRequest &request);
 
+/// Handles the loss of the current call, whose server may have run the request and gave no answer
+/// that could be forwarded. `request` may no longer exist after the call.
+void onLost(Context &ctx, ActiveRequest &request, ResultCode why);
+
+/// After the current call of a stream has failed: goes on with the silent one, and asks the next
+/// server. Returns false, and changes nothing, if there is no silent call.
+bool returnToSilentCall(Context &ctx, ActiveRequest &request);
+
+/// Gives up the other call of a stream, if any, because the current one can continue it.
+void endOtherCall(Context &ctx, ActiveRequest &request);
+
 } // namespace chervil::relay::detail
 
 #endif
--- a/packages/relay/detail/Dispatch.cpp
+++ b/packages/relay/detail/Dispatch.cpp
@@ -7,6 +7,7 @@
 #include "relay/detail/Versions.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace chervil::relay::detail {
 namespace {
@@ -59,7 +60,6 @@
 void sendCall(Context &ctx, ActiveRequest &request, const Choice &choice) {
   const Backend &server = *choice.Server;
   State &state = ctx.S;
-  dropCollected(state, request);
   request.DeniedClaims = 0;
   request.IsRetrying = false;
   request.TriedServers.push_back(server.Entry.Id);
@@ -163,6 +163,41 @@
   refuse(ctx, request, ResultCode::NodeOverloaded, retryAfter);
 }
 
+/// True if a request of which `runs` sends may have run may run once more.
+bool mayRunAgain(const Context &ctx, const ActiveRequest &request, unsigned runs) {
+  return runs < request.Route->MaxAttempts &&
+         ctx.Time.Steady + MinTimeLeftToSend <= request.GiveUp &&
+         !retry::isQuarantined(ctx.S.PartQuarantine, sharedParts(request.Info.Prompt));
+}
+
+/// Charges the next send of a request to the retry budget. Returns false if that is spent.
+bool takeRetry(Context &ctx, ActiveRequest &request, const Choice &choice) {
+  State &state = ctx.S;
+  if (!tryAcquireRetry(state.Retries[request.Service], state.Settings, state.LiveNodes, ctx.Time)) {
+    ctx.Out.push_back(IncrementCounter{"retry_refused", "budget"});
+    return false;
+  }
+  ++request.Retries;
+  request.IsRetrying = true;
+  ctx.Out.push_back(IncrementCounter{"retries", chervil::info(request.LastFailure).Name});
+  logRequest(ctx, request, "retry",
+             {{"reason", chervil::info(request.LastFailure).Name},
+              {"to", choice.Server == nullptr ? "" : choice.Server->Entry.Id}});
+  return true;
+}
+
+void endCall(Context &ctx, ServerCall &call, bool cancel) {
+  if (call.Id == 0)
+    return;
+  ctx.S.Calls.erase(call.Id);
+  ctx.S.CollectedBytes -= call.Body.size();
+  call.Body = {};
+  onRequestEnded(ctx.S.Servers, call.Backend, call.PendingTokens, call.GotFirstByte);
+  if (cancel)
+    ctx.Out.push_back(CancelBackend{call.Id});
+  call.Id = 0;
+}
+
 /// Continues a stream on another server, or ends it if none can be found in time.
 void resumeStream(Context &ctx, ActiveRequest &request) {
   SelectionCriteria criteria = criteriaOf(ctx, request);
@@ -232,38 +267,19 @@
 
 bool retryRequest(Context &ctx, ActiveRequest &request, bool mayHaveRun) {
   State &state = ctx.S;
-  if (mayHaveRun && !isIdempotent(*request.Route))
-    return false;
-  if (retry::isQuarantined(state.PartQuarantine, sharedParts(request.Info.Prompt)))
-    return false;
-  const unsigned bound =
+  const std::size_t bound =
       mayHaveRun ? request.Route->MaxAttempts : request.Route->MaxAttempts + MaxRejectedSends;
-  if (request.PossibleRuns >= request.Route->MaxAttempts || request.TriedServers.size() >= bound ||
-      ctx.Time.Steady + MinTimeLeftToSend > request.GiveUp)
+  if ((mayHaveRun && !isIdempotent(*request.Route)) || request.TriedServers.size() >= bound ||
+      !mayRunAgain(ctx, request, request.PossibleRuns))
     return false;
   SelectionCriteria criteria = criteriaOf(ctx, request);
-  // A server that is only silent may go on. Its call is given up for a send that can be made now,
-  // and not for a claim or a wait.
-  const bool isSilent = request.Call.Id != 0 && request.LastFailure == ResultCode::BackendTimeout;
-  if (isSilent)
-    criteria.Limited = SelectionCriteria::LimitedServers::None;
   const Choice choice = choose(ctx, request, criteria);
-  const bool mayWait = !isSilent && (hasServerBehindLimit(state.Servers, criteria, ctx.Time) ||
-                                     (request.LastFailure != ResultCode::BackendTimeout &&
-                                      waitsForUnit(state, request, ctx.Time)));
-  if (choice.Server == nullptr && !mayWait)
-    return false;
-  if (!tryAcquireRetry(state.Retries[request.Service], state.Settings, state.LiveNodes, ctx.Time)) {
-    ctx.Out.push_back(IncrementCounter{"retry_refused", "budget"});
+  const bool mayWait =
+      hasServerBehindLimit(state.Servers, criteria, ctx.Time) ||
+      (request.LastFailure != ResultCode::BackendTimeout && waitsForUnit(state, request, ctx.Time));
+  if ((choice.Server == nullptr && !mayWait) || !takeRetry(ctx, request, choice))
     return false;
-  }
-  ++request.Retries;
-  ctx.Out.push_back(IncrementCounter{"retries", chervil::info(request.LastFailure).Name});
-  logRequest(ctx, request, "retry",
-             {{"reason", chervil::info(request.LastFailure).Name},
-              {"to", choice.Server == nullptr ? "" : choice.Server->Entry.Id}});
   endCall(ctx, request, false);
-  request.IsRetrying = true;
   if (request.Stage != Stage::Streaming)
     request.Stage = Stage::WaitingForServer;
   if (choice.Server != nullptr)
@@ -271,15 +287,36 @@
   return true;
 }
 
+bool askAnotherServer(Context &ctx, ActiveRequest &request) {
+  const unsigned open = request.SilentCall ? 2 : 1;
+  if (!isIdempotent(*request.Route) ||
+      request.TriedServers.size() >= request.Route->MaxAttempts + MaxRejectedSends ||
+      !mayRunAgain(ctx, request, request.PossibleRuns + open))
+    return false;
+  SelectionCriteria criteria = criteriaOf(ctx, request);
+  // The claim for a server with a limit would be denied in most cases, and retries are few.
+  criteria.Limited = SelectionCriteria::LimitedServers::None;
+  const Choice choice = choose(ctx, request, criteria);
+  if (choice.Server == nullptr || !takeRetry(ctx, request, choice))
+    return false;
+  // If there are two calls already, both servers are silent, and the first one for as long as
+  // callers wait.
+  endSilentCall(ctx, request);
+  request.SilentCall = std::exchange(request.Call, {});
+  send(ctx, request, choice);
+  return true;
+}
+
 void endCall(Context &ctx, ActiveRequest &request, bool cancel) {
-  if (request.Call.Id == 0)
+  endCall(ctx, request.Call, cancel);
+}
+
+void endSilentCall(Context &ctx, ActiveRequest &request) {
+  if (!request.SilentCall)
     return;
-  ctx.S.Calls.erase(request.Call.Id);
-  onRequestEnded(ctx.S.Servers, request.Call.Backend, request.Call.PendingTokens,
-                 request.Call.GotFirstByte);
-  if (cancel)
-    ctx.Out.push_back(CancelBackend{request.Call.Id});
-  request.Call.Id = 0;
+  ++request.PossibleRuns;
+  endCall(ctx, *request.SilentCall, true);
+  request.SilentCall.reset();
 }
 
 void claimTokensIfNeeded(Context &ctx, const std::string &workspace,
--- a/packages/relay/detail/Dispatch.h
+++ b/packages/relay/detail/Dispatch.h
@@ -15,6 +15,11 @@
 /// not allowed; the request and its call are unchanged then.
 bool retryRequest(Context &ctx, ActiveRequest &request, bool mayHaveRun);
 
+/// Asks another server to continue a stream whose server is silent. The present call stays open as
+/// ActiveRequest::SilentCall. Returns false, and changes nothing, if that is not allowed now or no
+/// server can be had.
+bool askAnotherServer(Context &ctx, ActiveRequest &request);
+
 /// Sends a request whose claim was granted. Places it again if its server has gone meanwhile.
 void sendClaimed(Context &ctx, ActiveRequest &request, const std::string &server);
 
@@ -27,6 +32,9 @@
 /// Ends the current call of a request, if any. `cancel` also cancels it at the server.
 void endCall(Context &ctx, ActiveRequest &request, bool cancel);
 
+/// Cancels the silent call of a request, if any. Its server may have run the request.
+void endSilentCall(Context &ctx, ActiveRequest &request);
+
 /// Claims tokens for a workspace from the home node of its rate limit, if the account needs any.
 void claimTokensIfNeeded(Context &ctx, const std::string &workspace, limits::TokenAccount &account);
 
--- a/packages/relay/detail/Evidence.cpp
+++ b/packages/relay/detail/Evidence.cpp
@@ -104,7 +104,8 @@
   // The next send goes to an old server unless nothing may go there any more.
   if (target && !rollout::isClosed(rollout->Share, ctx.Time))
     use.Target = use.IsCovered = false;
-  if (request.IsProbe || usedServer(ctx.S, request.Call.Backend) == nullptr ||
+  if (request.IsProbe || request.Call.IsNotedSlow ||
+      usedServer(ctx.S, request.Call.Backend) == nullptr ||
       isQuarantined(ctx.S, request.Info.ContentHash, sharedParts(request.Info.Prompt), ctx.Time))
     return nullptr;
   bool &here = target ? use.FailedAtTarget : use.FailedAtOld;
@@ -118,18 +119,21 @@
   return nullptr;
 }
 
-/// Notes an answer that was given up after a time, if that is longer than usual.
-void noteGivenUp(Context &ctx, const ActiveRequest &request, const std::string &id,
+/// Notes an answer that was given up after a time, if that is longer than usual. Returns true if it
+/// is.
+bool noteGivenUp(Context &ctx, const ActiveRequest &request, const std::string &id,
                  const std::string &version, double time, double UsualTime::*usual) {
   ServiceRollout *rollout = judgedRollout(ctx.S, request, version);
   const Backend *server = usedServer(ctx.S, id);
   if (rollout == nullptr || server == nullptr || ctx.Time.Steady < server->WarmUntil ||
       request.IsProbe)
-    return;
+    return false;
   const UsualTime &known = usualTime(ctx.S, request);
-  if (isSlow(time, known.*usual, known.Answers))
-    rollout::onAnswer(rollout->Share, request.Route->Name, isTarget(*rollout, version),
-                      AnswerQuality::Slow);
+  if (!isSlow(time, known.*usual, known.Answers))
+    return false;
+  rollout::onAnswer(rollout->Share, request.Route->Name, isTarget(*rollout, version),
+                    AnswerQuality::Slow);
+  return true;
 }
 
 void countBroken(ServiceRollout &rollout, const BrokenAnswer &it) {
@@ -166,7 +170,7 @@
   if (!ctx.S.Settings.Rollouts)
     return;
   const Backend *server = usedServer(ctx.S, request.Call.Backend);
-  if (server == nullptr || request.IsProbe)
+  if (server == nullptr || request.IsProbe || request.Call.IsNotedSlow)
     return;
   const bool isWarm = ctx.Time.Steady >= server->WarmUntil;
   const std::optional<double> time = timeOf(request, ctx.Time);
@@ -239,6 +243,8 @@
 }
 
 void noteTimeout(Context &ctx, const ActiveRequest &request) {
+  if (request.Call.IsNotedSlow)
+    return;
   const std::string &version = request.Call.Version;
   if (request.Stage == Stage::Streaming)
     noteGivenUp(ctx, request, request.Call.Backend, version,
@@ -253,9 +259,10 @@
                 millis(ctx.Time.Steady - request.Call.Sent), &UsualTime::Answer);
 }
 
-void noteMoved(Context &ctx, const ActiveRequest &request, const ServerCall &silent,
-               Duration silence) {
-  noteGivenUp(ctx, request, silent.Backend, silent.Version, millis(silence), &UsualTime::Answer);
+void noteSilence(Context &ctx, const ActiveRequest &request, ServerCall &silent) {
+  silent.IsNotedSlow |=
+      noteGivenUp(ctx, request, silent.Backend, silent.Version,
+                  millis(ctx.Time.Steady - silent.LastProgress), &UsualTime::Answer);
 }
 
 void judgeBroken(State &state, ServiceRollout &rollout, const Now &now) {
--- a/packages/relay/detail/Evidence.h
+++ b/packages/relay/detail/Evidence.h
@@ -26,9 +26,8 @@
 /// Notes that the node gives up an answer. It is a slow one if it already took longer than that.
 void noteTimeout(Context &ctx, const ActiveRequest &request);
 
-/// The same for a stream that was moved to another server after a silence.
-void noteMoved(Context &ctx, const ActiveRequest &request, const ServerCall &silent,
-               Duration silence);
+/// The same for a stream whose server is silent, so that another one is asked to continue it.
+void noteSilence(Context &ctx, const ActiveRequest &request, ServerCall &silent);
 
 /// Decides which of the connections that broke are evidence.
 void judgeBroken(State &state, ServiceRollout &rollout, const Now &now);
--- a/packages/relay/detail/Outcome.cpp
+++ b/packages/relay/detail/Outcome.cpp
@@ -136,13 +136,9 @@
   removeRequest(ctx, request);
 }
 
-void dropCollected(State &state, ActiveRequest &request) {
-  state.CollectedBytes -= request.Call.Body.size();
-  request.Call.Body = {};
-}
-
 void removeRequest(Context &ctx, ActiveRequest &request) {
-  dropCollected(ctx.S, request);
+  endCall(ctx, request, true);
+  endSilentCall(ctx, request);
   if (!request.Workspace.empty()) {
     const auto it = ctx.S.Accounts.find(request.Workspace);
     if (it != ctx.S.Accounts.end()) {
--- a/packages/relay/detail/Outcome.h
+++ b/packages/relay/detail/Outcome.h
@@ -22,11 +22,8 @@
 /// Ends a streamed answer that is complete.
 void completeStream(Context &ctx, ActiveRequest &request);
 
-/// Discards the part of the answer that was collected.
-void dropCollected(State &state, ActiveRequest &request);
-
-/// Removes a request without answering it. If it did not run, its tokens are returned to its
-/// workspace.
+/// Removes a request without answering it, and ends its calls. If it did not run, its tokens are
+/// returned to its workspace.
 void removeRequest(Context &ctx, ActiveRequest &request);
 
 } // namespace chervil::relay::detail
--- a/packages/relay/detail/SuspectParts.cpp
+++ b/packages/relay/detail/SuspectParts.cpp
@@ -1,6 +1,8 @@
 #include "relay/detail/SuspectParts.h"
 
 #include "base/Hash.h"
+#include "relay/detail/BackendCalls.h"
+#include "relay/detail/Dispatch.h"
 #include "relay/detail/Outcome.h"
 
 #include <utility>
@@ -70,7 +72,10 @@
     ActiveRequest &request = ctx.S.ActiveRequests.at(id);
     // The server may have begun to run it.
     request.PossibleRuns += request.Call.Id != 0 ? 1 : 0;
-    refuse(ctx, request, ResultCode::Quarantined, QuarantineRetryAfter);
+    endCall(ctx, request, true);
+    request.LastFailure = ResultCode::Quarantined;
+    if (!returnToSilentCall(ctx, request))
+      refuse(ctx, request, ResultCode::Quarantined, QuarantineRetryAfter);
   }
 }
 
