relay: tokens of a request whose server may run it are not returned

Cause: the end of a request returns its tokens if none of its sends may have run. An open call counted only when it ended, and onCallerGone, unlike the other paths, did not count it by hand. Change: cancelling a call counts it as a run, and refuse, refuseTimedOut and removeRequest cancel all open calls. The paths no longer count by hand. TokensOfRejectedRequestsAreReturned, unchanged, guards the return of tokens that were not spent.

--- a/packages/relay/BackendEvents.cpp
+++ b/packages/relay/BackendEvents.cpp
@@ -133,7 +133,7 @@
   if (advance(request.Call.Progress, bytes)) {
     request.Call.LastProgress = ctx.Time.Steady;
     // A server that was silent goes on.
-    detail::endOtherCall(ctx, request);
+    detail::leaveOtherCall(ctx, request);
     timeEvent(ctx, request);
     detail::noteEvent(request, ctx.Time);
   }
@@ -204,6 +204,7 @@
     if (detail::returnToSilentCall(ctx, request) || detail::retryRequest(ctx, request, true))
       return;
     if (claimsNotRun || request.Stage == Stage::Streaming) {
+      detail::endCall(ctx, request, false);
       detail::refuse(ctx, request, ResultCode::BackendRefused, 0ms);
       return;
     }
@@ -219,8 +220,10 @@
     return;
   }
   request.LastFailure = ResultCode::BackendBadAnswer;
-  if (!detail::returnToSilentCall(ctx, request))
-    detail::refuse(ctx, request, request.LastFailure, 0ms);
+  if (detail::returnToSilentCall(ctx, request))
+    return;
+  detail::endCall(ctx, request, false);
+  detail::refuse(ctx, request, request.LastFailure, 0ms);
 }
 
 /// Handles the head of an answer.
@@ -245,7 +248,7 @@
   request.Call.AnswerBegan = request.Call.LastProgress = ctx.Time.Steady;
   if (!isStreamed(request))
     return;
-  detail::endOtherCall(ctx, request);
+  detail::leaveOtherCall(ctx, request);
   if (request.Stage != Stage::Streaming) {
     request.Stage = Stage::Streaming;
     ctx.Out.push_back(BeginStream{request.Id, request.Call.Id});
--- a/packages/relay/Relay.cpp
+++ b/packages/relay/Relay.cpp
@@ -258,7 +258,6 @@
   Context ctx{state, out, now, unused};
   ActiveRequest &request = it->second;
   detail::logRequest(ctx, request, "caller_gone", {});
-  detail::endCall(ctx, request, true);
   detail::removeRequest(ctx, request);
 }
 
@@ -292,13 +291,9 @@
   std::vector<RequestId> open;
   for (const auto &[id, request] : state.ActiveRequests)
     open.push_back(id);
-  for (const RequestId id : open) {
-    ActiveRequest &request = state.ActiveRequests.at(id);
-    // The request may have started to run in the current call.
-    if (request.Call.Id != 0)
-      ++request.PossibleRuns;
-    detail::refuse(ctx, request, ResultCode::NodeLeaving, NodeLeavingRetryAfter);
-  }
+  for (const RequestId id : open)
+    detail::refuse(ctx, state.ActiveRequests.at(id), ResultCode::NodeLeaving,
+                   NodeLeavingRetryAfter);
 }
 
 void tick(State &state, Effects &out, const Now &now, Random &rng) {
--- a/packages/relay/RelayTest.cpp
+++ b/packages/relay/RelayTest.cpp
@@ -1,6 +1,5 @@
 #include "relay/RelayFixture.h"
-
-#include <set>
+#include "relay/detail/BackendCalls.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -506,4 +505,32 @@
   BOOST_TEST(f.S.Accounts["w"].Balance == before + 1);
 }
 
+// Guards against a tenant that spends its tokens more than once: those of a request were returned
+// while a server ran it, because its caller left.
+BOOST_AUTO_TEST_CASE(TokensOfRequestsThatMayRunAreSpent) {
+  enum class Progress : std::uint8_t { Waiting, Sent, Answered, Streamed, Stalled };
+  using enum Progress;
+  for (const Progress progress : {Waiting, Sent, Answered, Streamed, Stalled}) {
+    Limited f;
+    if (progress == Waiting)
+      for (const char *it : {"model0", "model1", "model2"})
+        pauseServer(f.S.Servers, it, 200ms, f.Time);
+    const RequestId id = f.request("/resumed/x");
+    const ClaimTokens claim = f.only<ClaimTokens>();
+    onTokenGrant(f.S, {claim.Workspace, claim.Seq, 1, 0ms}, f.Out, f.Time, f.Rng);
+    const double before = f.S.Accounts["w"].Balance;
+    BOOST_TEST(f.all<CallBackend>().empty() == (progress == Waiting));
+    f.S.ActiveRequests.at(id).GiveUp = f.Time.Steady + 1h;
+    if (progress >= Answered)
+      f.head(f.call().Call, 200);
+    if (progress >= Streamed)
+      f.bytes(f.call().Call, "id: 1\ndata: a\n\n");
+    if (progress == Stalled)
+      f.wait(detail::stallTimeout(f.S.Config->Routes[3]) + 1ms);
+    onCallerGone(f.S, id, f.Out, f.Time);
+    BOOST_TEST(f.S.ActiveRequests.empty());
+    BOOST_TEST(f.S.Accounts["w"].Balance == before + (progress == Waiting ? 1 : 0));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/relay/detail/BackendCalls.cpp
+++ b/packages/relay/detail/BackendCalls.cpp
@@ -60,9 +60,8 @@
 
 void onLost(Context &ctx, ActiveRequest &request, ResultCode why) {
   request.LastFailure = why;
-  ++request.PossibleRuns;
   recordOutcome(ctx.S.Servers, request.Call.Backend, SendOutcome::Broken, ctx.Time);
-  endCall(ctx, request, true);
+  cancelCall(ctx, request);
   if (returnToSilentCall(ctx, request) || retryRequest(ctx, request, true))
     return;
   refuse(ctx, request, why, 0ms);
@@ -82,12 +81,12 @@
   return true;
 }
 
-void endOtherCall(Context &ctx, ActiveRequest &request) {
+void leaveOtherCall(Context &ctx, ActiveRequest &request) {
   if (!request.SilentCall)
     return;
   const bool isMoved = request.Call.Id > request.SilentCall->Id;
   ctx.Out.push_back(IncrementCounter{"stalled_streams", isMoved ? "moved" : "went_on"});
-  endSilentCall(ctx, request);
+  cancelSilentCall(ctx, request);
 }
 
 } // namespace chervil::relay::detail
--- a/packages/relay/detail/BackendCalls.h
+++ b/packages/relay/detail/BackendCalls.h
@@ -40,7 +40,7 @@
 bool returnToSilentCall(Context &ctx, ActiveRequest &request);
 
 /// Gives up the other call of a stream, if any, because the current one can continue it.
-void endOtherCall(Context &ctx, ActiveRequest &request);
+void leaveOtherCall(Context &ctx, ActiveRequest &request);
 
 } // namespace chervil::relay::detail
 
--- a/packages/relay/detail/Dispatch.cpp
+++ b/packages/relay/detail/Dispatch.cpp
@@ -301,7 +301,7 @@
     return false;
   // If there are two calls already, both servers are silent, and the first one for as long as
   // callers wait.
-  endSilentCall(ctx, request);
+  cancelSilentCall(ctx, request);
   request.SilentCall = std::exchange(request.Call, {});
   send(ctx, request, choice);
   return true;
@@ -311,7 +311,14 @@
   endCall(ctx, request.Call, cancel);
 }
 
-void endSilentCall(Context &ctx, ActiveRequest &request) {
+void cancelCall(Context &ctx, ActiveRequest &request) {
+  if (request.Call.Id == 0)
+    return;
+  ++request.PossibleRuns;
+  endCall(ctx, request.Call, true);
+}
+
+void cancelSilentCall(Context &ctx, ActiveRequest &request) {
   if (!request.SilentCall)
     return;
   ++request.PossibleRuns;
--- a/packages/relay/detail/Dispatch.h
+++ b/packages/relay/detail/Dispatch.h
@@ -29,11 +29,14 @@
 /// True if a stream that broke off waits for a server that can continue it.
 bool waitsToResume(const ActiveRequest &request);
 
-/// Ends the current call of a request, if any. `cancel` also cancels it at the server.
+/// Ends the current call of a request, if any, when it is known whether its server ran the request.
+/// `cancel` also cancels it at the server.
 void endCall(Context &ctx, ActiveRequest &request, bool cancel);
 
-/// Cancels the silent call of a request, if any. Its server may have run the request.
-void endSilentCall(Context &ctx, ActiveRequest &request);
+/// Cancels the current call of a request, or the silent one, if any. Its server may have run the
+/// request.
+void cancelCall(Context &ctx, ActiveRequest &request);
+void cancelSilentCall(Context &ctx, ActiveRequest &request);
 
 /// Claims tokens for a workspace from the home node of its rate limit, if the account needs any.
 void claimTokensIfNeeded(Context &ctx, const std::string &workspace, limits::TokenAccount &account);
--- a/packages/relay/detail/Outcome.cpp
+++ b/packages/relay/detail/Outcome.cpp
@@ -18,13 +18,18 @@
 // Status of a request that timed out and may have run.
 constexpr int TimeoutStatus = 504;
 
+void cancelCalls(Context &ctx, ActiveRequest &request) {
+  cancelCall(ctx, request);
+  cancelSilentCall(ctx, request);
+}
+
+/// Refuses a request whose calls have ended.
 void refuseWithStatus(Context &ctx, ActiveRequest &request, ResultCode code, int status,
                       std::chrono::milliseconds retryAfter) {
   const char *reason = chervil::info(code).Name;
   ctx.Out.push_back(IncrementCounter{"refused", reason});
   logRequest(ctx, request, request.Stage == Stage::Streaming ? "aborted" : "refused",
              {{"reason", reason}, {"status", std::to_string(status)}});
-  endCall(ctx, request, true);
   if (request.Stage == Stage::Streaming)
     ctx.Out.push_back(AbortStream{request.Id});
   else
@@ -99,6 +104,7 @@
 
 void refuse(Context &ctx, ActiveRequest &request, ResultCode code,
             std::chrono::milliseconds retryAfter) {
+  cancelCalls(ctx, request);
   const bool isLimit = code == ResultCode::LimitTokens || code == ResultCode::LimitRequests;
   const int status = request.PossibleRuns > 0 ? UnknownStatus
                      : isLimit                ? LimitStatus
@@ -108,9 +114,7 @@
 }
 
 void refuseTimedOut(Context &ctx, ActiveRequest &request) {
-  // The request may have started to run in the current call.
-  if (request.Call.Id != 0)
-    ++request.PossibleRuns;
+  cancelCalls(ctx, request);
   const bool mayHaveRun = request.PossibleRuns > 0;
   refuseWithStatus(ctx, request,
                    mayHaveRun ? ResultCode::BackendTimeout : ResultCode::DeadlineUnreachable,
@@ -137,8 +141,7 @@
 }
 
 void removeRequest(Context &ctx, ActiveRequest &request) {
-  endCall(ctx, request, true);
-  endSilentCall(ctx, request);
+  cancelCalls(ctx, request);
   if (!request.Workspace.empty()) {
     const auto it = ctx.S.Accounts.find(request.Workspace);
     if (it != ctx.S.Accounts.end()) {
--- a/packages/relay/detail/SuspectParts.cpp
+++ b/packages/relay/detail/SuspectParts.cpp
@@ -70,9 +70,7 @@
       refused.push_back(id);
   for (const RequestId id : refused) {
     ActiveRequest &request = ctx.S.ActiveRequests.at(id);
-    // The server may have begun to run it.
-    request.PossibleRuns += request.Call.Id != 0 ? 1 : 0;
-    endCall(ctx, request, true);
+    cancelCall(ctx, request);
     request.LastFailure = ResultCode::Quarantined;
     if (!returnToSilentCall(ctx, request))
       refuse(ctx, request, ResultCode::Quarantined, QuarantineRetryAfter);
