relay: the outcome of a stalled stream is counted right if its silent server fails

Cause: a stream whose silent call broke off while another server was being asked was counted and logged as returned to the silent server. Change: such a stream counts as moved. returnToSilentCall becomes keepOtherCall, the opposite of leaveOtherCall.

--- a/packages/relay/BackendEvents.cpp
+++ b/packages/relay/BackendEvents.cpp
@@ -51,7 +51,7 @@
   request.LastFailure = why;
   recordOutcome(ctx.S.Servers, request.Call.Backend, SendOutcome::Full, ctx.Time);
   detail::endCall(ctx, request, true);
-  if (detail::returnToSilentCall(ctx, request))
+  if (detail::keepOtherCall(ctx, request))
     return;
   if (!detail::retryRequest(ctx, request, false))
     detail::refuse(ctx, request, why, ServersFullRetryAfter);
@@ -201,7 +201,7 @@
       detail::noteFailed(ctx, request);
     recordOutcome(ctx.S.Servers, request.Call.Backend, SendOutcome::ServerError, ctx.Time);
     ++request.PossibleRuns;
-    if (detail::returnToSilentCall(ctx, request) || detail::retryRequest(ctx, request, true))
+    if (detail::keepOtherCall(ctx, request) || detail::retryRequest(ctx, request, true))
       return;
     if (claimsNotRun || request.Stage == Stage::Streaming) {
       detail::endCall(ctx, request, false);
@@ -220,7 +220,7 @@
     return;
   }
   request.LastFailure = ResultCode::BackendBadAnswer;
-  if (detail::returnToSilentCall(ctx, request))
+  if (detail::keepOtherCall(ctx, request))
     return;
   detail::endCall(ctx, request, false);
   detail::refuse(ctx, request, request.LastFailure, 0ms);
--- a/packages/relay/detail/BackendCalls.cpp
+++ b/packages/relay/detail/BackendCalls.cpp
@@ -62,22 +62,26 @@
   request.LastFailure = why;
   recordOutcome(ctx.S.Servers, request.Call.Backend, SendOutcome::Broken, ctx.Time);
   cancelCall(ctx, request);
-  if (returnToSilentCall(ctx, request) || retryRequest(ctx, request, true))
+  if (keepOtherCall(ctx, request) || retryRequest(ctx, request, true))
     return;
   refuse(ctx, request, why, 0ms);
 }
 
-bool returnToSilentCall(Context &ctx, ActiveRequest &request) {
+bool keepOtherCall(Context &ctx, ActiveRequest &request) {
   if (!request.SilentCall)
     return false;
   endCall(ctx, request, false);
   request.Call = *std::exchange(request.SilentCall, std::nullopt);
+  if (!isStalled(request, ctx.Time)) {
+    // The silent call has failed, and the server that was asked has the stream for itself.
+    ctx.Out.push_back(IncrementCounter{"stalled_streams", "moved"});
+    return true;
+  }
   ctx.Out.push_back(IncrementCounter{"stalled_streams", "returned"});
   logRequest(ctx, request, "returned",
              {{"reason", chervil::info(request.LastFailure).Name},
               {"silent_ms", formatMillis(ctx.Time.Steady - request.Call.LastProgress)}});
-  if (isStalled(request, ctx.Time))
-    askAnotherServer(ctx, request);
+  askAnotherServer(ctx, request);
   return true;
 }
 
--- a/packages/relay/detail/BackendCalls.h
+++ b/packages/relay/detail/BackendCalls.h
@@ -35,11 +35,12 @@
 /// that could be forwarded. `request` may no longer exist after the call.
 void onLost(Context &ctx, ActiveRequest &request, ResultCode why);
 
-/// After the current call of a stream has failed: goes on with the silent one, and asks the next
-/// server. Returns false, and changes nothing, if there is no silent call.
-bool returnToSilentCall(Context &ctx, ActiveRequest &request);
+/// Goes on with the other call of a stream, if there are two, after the current one has failed.
+/// Asks the next server if the other call is the silent one. Returns false, and changes nothing, if
+/// there is one call only.
+bool keepOtherCall(Context &ctx, ActiveRequest &request);
 
-/// Gives up the other call of a stream, if any, because the current one can continue it.
+/// Gives up the other call of a stream, if there are two, because the current one can continue it.
 void leaveOtherCall(Context &ctx, ActiveRequest &request);
 
 } // namespace chervil::relay::detail
--- a/packages/relay/detail/SuspectParts.cpp
+++ b/packages/relay/detail/SuspectParts.cpp
@@ -72,7 +72,7 @@
     ActiveRequest &request = ctx.S.ActiveRequests.at(id);
     cancelCall(ctx, request);
     request.LastFailure = ResultCode::Quarantined;
-    if (!returnToSilentCall(ctx, request))
+    if (!keepOtherCall(ctx, request))
       refuse(ctx, request, ResultCode::Quarantined, QuarantineRetryAfter);
   }
 }
