--- a/review/lib-3/stand.py
+++ b/review/lib-3/stand.py
@@ -134,6 +134,33 @@
         (self.folder / "record.txt").write_text("\n".join(self.lines + [verdict]) + "\n")
 
 
+class PeerLink(soak_link.Link):
+    """The project's proxy, towards a node's own loopback address."""
+
+    @classmethod
+    async def start(cls, ip, target):
+        link = cls(target)
+        link.ip = ip
+        server = await asyncio.start_server(link._serve, "127.0.0.1", 0)
+        link.port = server.sockets[0].getsockname()[1]
+        link._server = server
+        return link
+
+    async def _serve(self, reader, writer):
+        try:
+            out_reader, out_writer = await asyncio.open_connection(self.ip, self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, out_writer}
+        await asyncio.gather(self._pump(reader, out_writer, "silent_up"),
+                             self._pump(out_reader, writer, "silent_down"))
+        self._writers -= {writer, out_writer}
+
+    def silence(self):
+        self.silent_up = self.silent_down = True
+
+
 class Node:
     def __init__(self, stand, name, zone, ip):
         self.stand, self.name, self.zone, self.ip = stand, name, zone, ip
@@ -142,8 +169,13 @@
         self.ports = {it: free_port(ip) for it in names}
 
     async def prepare(self, proxied):
+        """With `proxied` the other nodes reach this one through a proxy that can be silenced."""
         self.store_port = await self.stand.store.listen(self.name)
         self.peer_address = f"{self.ip}:{self.ports['control']}"
+        self.peer_link = None
+        if proxied:
+            self.peer_link = await PeerLink.start(self.ip, self.ports["control"])
+            self.peer_address = f"127.0.0.1:{self.peer_link.port}"
 
     def _values(self):
         listen = {"frontend": "frontend", "ready": "ready", "control-plane": "control",
@@ -155,7 +187,7 @@
                "cloud-api.address": f"127.0.0.1:{self.stand.duty_port}",
                "limits.memory-mb": 260, "limits.max-fds": 4100,
                "bounds.grace-s": 8, "bounds.lease-ms": 3000, "bounds.usage-window-s": 5,
-               "bounds.retry-slack": 54, "bounds.retry-window-s": 10,
+               "bounds.retry-slack": 58, "bounds.retry-window-s": 10,
                "bounds.exposure-share": "", "bounds.exposure-slack": "", "bounds.rollback-ms": ""}
         out.update({f"listeners-map.{k}": f"{self.ip}:{self.ports[v]}" for k, v in listen.items()})
         return out
@@ -167,7 +199,11 @@
     async def start(self):
         role = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]["node"]
         settings = self.stand.temporary / f"{self.name}.ini"
-        settings.write_text(self._fill((ROOT / role["template"]).read_text()))
+        text = self._fill((ROOT / role["template"]).read_text())
+        if self.peer_link is not None:
+            text = text.replace("[membership]",
+                                f"peer_advertise = {self.peer_address}\n\n[membership]")
+        settings.write_text(text)
         command = self._fill(role["run"]).split(" ")
         env = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
         env["CHERVILCOURSE_SETTINGS"] = str(settings)
