--- a/review/lib-3/stand.py
+++ b/review/lib-3/stand.py
@@ -14,6 +14,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shutil
 import signal
@@ -40,10 +41,22 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
+_given = set()
+
+
 def free_port(ip):
-    with socket.socket() as s:
-        s.bind((ip, 0))
-        return s.getsockname()[1]
+    """A port that nobody listens on, below those that the system gives to outgoing channels."""
+    while True:
+        port = random.randrange(15000, 32000)
+        with socket.socket() as s:
+            try:
+                s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                s.bind((ip, port))
+            except OSError:
+                continue
+        if port not in _given:
+            _given.add(port)
+            return port
 
 
 class Stand:
@@ -58,6 +71,8 @@
         self.store = soak_store.Store(self)
         self.version = 0
         self.tasks = []
+        # Placeholders of the deploy file with other values than those of DEPLOY.md's example.
+        self.bounds = {}
 
     def now(self):
         return time.monotonic() - self.began
@@ -75,6 +90,8 @@
                                    zones[i % len(zones)], f"127.0.1.{10 + i}"))
         for node in self.nodes:
             await node.prepare(proxied)
+            if node.peer_link is not None:
+                node.peer_link.names = [it.name for it in self.nodes]
         for node in self.nodes:
             await node.start()
 
@@ -135,7 +152,11 @@
 
 
 class PeerLink(soak_link.Link):
-    """The project's proxy, towards a node's own loopback address."""
+    """The project's proxy, towards a node's own loopback address. Tells from the first bytes of a
+    channel, in which the connecting node names itself, whose it is."""
+
+    silenced = frozenset()
+    names = ()
 
     @classmethod
     async def start(cls, ip, target):
@@ -153,12 +174,34 @@
             writer.transport.abort()
             return
         self._writers |= {writer, out_writer}
-        await asyncio.gather(self._pump(reader, out_writer, "silent_up"),
-                             self._pump(out_reader, writer, "silent_down"))
+        source = [None]
+        await asyncio.gather(self._pass(reader, out_writer, source, True),
+                             self._pass(out_reader, writer, source, False))
         self._writers -= {writer, out_writer}
 
-    def silence(self):
-        self.silent_up = self.silent_down = True
+    async def _pass(self, reader, writer, source, is_up):
+        try:
+            while data := await reader.read(65536):
+                if is_up and source[0] is None:
+                    source[0] = next((it for it in self.names if it.encode() in data), "")
+                while source[0] in self.silenced or self.silent_up:
+                    await self._released.wait()
+                writer.write(data)
+                await writer.drain()
+            writer.close()
+        except OSError:
+            writer.transport.abort()
+
+    def silence(self, sources=None):
+        """Holds back what nodes with these names, or all, send and get over this link."""
+        if sources is None:
+            self.silent_up = True
+        else:
+            self.silenced = frozenset(sources)
+
+    def release(self):
+        self.silenced = frozenset()
+        super().release()
 
 
 class Node:
@@ -188,7 +231,8 @@
                "limits.memory-mb": 260, "limits.max-fds": 4100,
                "bounds.grace-s": 8, "bounds.lease-ms": 3000, "bounds.usage-window-s": 5,
                "bounds.retry-slack": 58, "bounds.retry-window-s": 10,
-               "bounds.exposure-share": "", "bounds.exposure-slack": "", "bounds.rollback-ms": ""}
+               "bounds.exposure-share": "", "bounds.exposure-slack": "", "bounds.rollback-ms": "",
+               **self.stand.bounds}
         out.update({f"listeners-map.{k}": f"{self.ip}:{self.ports[v]}" for k, v in listen.items()})
         return out
 
@@ -234,8 +278,9 @@
 class Engine:
     """A sound engine. Subclasses answer requests in `work`."""
 
-    def __init__(self, stand, service, zone="a", slots=64):
+    def __init__(self, stand, service, zone="a", slots=64, version="v1"):
         self.stand, self.service, self.zone, self.slots = stand, service, zone, slots
+        self.version = version
         self.id = self.new_id()
         self.port = free_port("127.0.0.1")
         self.reaches_store = True
@@ -265,7 +310,7 @@
         self.sequence += 1
         self.stand.store.put(f"servers/{self.id}", {
             "service": self.service, "address": f"127.0.0.1:{self.port}", "zone": self.zone,
-            "version": "v1", "slots": self.slots, "state": "ready", "cold-remaining-ms": 0,
+            "version": self.version, "slots": self.slots, "state": "ready", "cold-remaining-ms": 0,
             "sequence": self.sequence, "born": self.born})
         self.announced = self.stand.now()
 
