--- a/review/13/case.py
+++ b/review/13/case.py
@@ -54,7 +54,7 @@
     served = total = 0
     while stand.now() < end:
         status, _, _ = await requester.send(
-            "POST", f"/draft/{rng.getrandbits(32):08x}", {
+            "POST", f"/letter/{rng.getrandbits(32):08x}", {
                 "Model": "m", "Token-Usage": "1050,80",
                 "Prompt-Prefix": f"{SHARED}:800,{rng.getrandbits(32):08x}:250"},
             b"p" * 300, key=KEY)
@@ -70,7 +70,9 @@
     await stand.prepare(nodes=2)
     stand.write_config(
         [route("/draft/", "streaming", "model", **{
-            "stream-resume": True, "session-affinity": True, "gap-target-ms": 300})],
+            "stream-resume": True, "session-affinity": True, "gap-target-ms": 300}),
+         route("/letter/", "streaming", "model", **{
+             "max-attempts": 1, "session-affinity": True, "gap-target-ms": 300})],
         [service("model", engine={"slots": 64, "kv-capacity": 600000})],
         [{"name": "hule930", "api-keys": [KEY]}])
     for _ in range(ENGINES):
@@ -78,7 +80,8 @@
     await stand.ready()
     await asyncio.sleep(3.0)
     end = stand.now() + 60
-    others = [asyncio.create_task(sound(stand, node, rng, end)) for node in stand.nodes]
+    others = [asyncio.create_task(sound(stand, node, rng, end))
+              for node in stand.nodes for _ in range(3)]
     await asyncio.sleep(3.0)
     n = 0
     while stand.now() < end - 6:
--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-cd "$(dirname "$0")" && exec python3 case.py
+cd "$(dirname "$0")" && PYTHONDONTWRITEBYTECODE=1 exec python3 case.py
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,4 +1,4 @@
-"""An engine that wants nothing for a time loses its way to the store meanwhile and is listed again."""
+"""One part of a prompt crashes each engine that begins to write an answer on it."""
 
 import asyncio
 import pathlib
@@ -6,97 +6,100 @@
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib-3"))
-from stand import LAPSE, TROUBLE, Engine, Requester, Stand, route, run, service, wire  # noqa: E402
+from stand import CONTACT, TROUBLE, Engine, Requester, Stand, route, run, service, wire  # noqa: E402
 
+ENGINES = 8
+BAD = "bad0bad0"
+SHARED = "5c1e07a2"
 KEY = "i9n73hh2b9wu3fexd9dn"
-# Seconds that the engine asks for, and how long its way to the store is cut.
-RETRY_AFTER = 30.0
-CUT = 6.0
-# Requests that may reach the engine from one machine between half a second after its answer and the
-# end of the time.
-ALLOWED = 2
+BACK_AFTER = 2.5
+# Arrivals of the bad part at engines that the rule allows after the fifth crash and contact-ms.
+ALLOWED = 3
 
-# (time, node's address or attempt, what)
-refusals = {}
+crashes = []
 arrivals = []
 
 
-class App(Engine):
-    """Turns away what comes while it is full."""
-    full_until = 0.0
-
+class Model(Engine):
     async def work(self, request, attempt, reader, writer):
-        node = request.fields["x-from"]
-        arrivals.append((self.stand.now(), self, node))
-        if self.stand.now() < self.full_until:
-            left = RETRY_AFTER
-            refusals.setdefault((self, node), self.stand.now())
-            self.stand.log(f"{self.id} answers {node} 503, Retry-After {left}")
-            writer.write(wire.response(503, {"Attempt-Id": attempt, "Not-Executed": "1",
-                                             "Retry-After": f"{left:.1f}"}))
-            return True
-        await asyncio.sleep(0.03)
-        writer.write(wire.response(200, self.fields(attempt), b"done " + attempt.encode()))
+        is_bad = BAD in request.fields.get("prompt-prefix", "")
+        if is_bad:
+            arrivals.append(self.stand.now())
+            self.stand.log(f"request {attempt} with the part {BAD} reaches {self.id}")
+        # The prompt is read, and the first token made.
+        await asyncio.sleep(0.06)
+        if is_bad and TROUBLE:
+            # It begins to write the answer, and its process ends.
+            writer.write(b"HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt.encode())
+            await writer.drain()
+            await asyncio.sleep(0.005)
+            crashes.append(self.stand.now())
+            self.stand.tasks.append(asyncio.create_task(self.crash_and_return(BACK_AFTER)))
+            await asyncio.sleep(0)
+            return False
+        fields = {**self.fields(attempt), "Content-Type": "text/event-stream",
+                  "Transfer-Encoding": "chunked"}
+        writer.write(wire.head("HTTP/1.1 200 OK", fields))
+        for n in range(1, 25):
+            writer.write(wire.chunk(f"id: {n}\ndata: {attempt}\n\n".encode()))
+            await writer.drain()
+            await asyncio.sleep(0.03)
+        writer.write(b"0\r\n\r\n")
         return True
 
 
-async def callers(stand, node, rng, end):
+async def sound(stand, node, rng, end):
     requester = Requester(stand, node)
-    counts = {}
+    served = total = 0
     while stand.now() < end:
+        prompt = f"{SHARED}:800,91bd3f06:410,{rng.getrandbits(32):08x}:250"
         status, _, _ = await requester.send(
-            "GET", f"/app/{rng.getrandbits(32):08x}", {"X-From": node.name}, deadline=3.0, key=KEY)
-        counts[status] = counts.get(status, 0) + 1
-        await asyncio.sleep(0.05)
+            "POST", f"/letter/{rng.getrandbits(32):08x}", {
+                "Model": "m", "Token-Usage": "1460,80", "Prompt-Prefix": prompt}, b"p" * 300, key=KEY)
+        total += 1
+        served += status == 200
+        await asyncio.sleep(0.3)
     requester.close()
-    stand.log(f"requests at {node.name} by status: {counts}")
+    stand.log(f"sound requests at {node.name}: {served} of {total} served")
 
 
 async def main(stand: Stand):
     rng = random.Random(14)
     await stand.prepare(nodes=2)
-    stand.write_config([route("/app/", "safe", "app", **{"timeout-ms": 3000})],
-                       [service("app", **{"max-connections": 100})],
-                       [{"name": "hule930", "api-keys": [KEY]}])
-    engines = [App(stand, "app", slots=6) for _ in range(3)]
-    for it in engines:
-        await it.start()
+    stand.write_config(
+        [route("/draft/", "streaming", "model", **{
+            "stream-resume": True, "session-affinity": True, "gap-target-ms": 300}),
+         route("/letter/", "streaming", "model", **{
+             "max-attempts": 1, "session-affinity": True, "gap-target-ms": 300})],
+        [service("model", engine={"slots": 64, "kv-capacity": 600000})],
+        [{"name": "hule930", "api-keys": [KEY]}])
+    for _ in range(ENGINES):
+        await Model(stand, "model").start()
     await stand.ready()
     await asyncio.sleep(3.0)
-    end = stand.now() + 40
-    tasks = [asyncio.create_task(callers(stand, node, rng, end)) for node in stand.nodes]
-    await asyncio.sleep(2.0)
-    busy = engines[0]
-    busy.full_until = stand.now() + 1.0
-    stand.log(f"{busy.id} is full for a second")
-    await asyncio.sleep(2.0)
-    if TROUBLE:
-        busy.reaches_store = False
-        cut = stand.now()
-        stand.log(f"{busy.id} is partitioned from the store")
-        await asyncio.sleep(max(0.0, busy.announced + LAPSE - stand.now()))
-        stand.store.remove(f"servers/{busy.id}")
-        stand.log(f"the store removes the entry of {busy.id}")
-        await asyncio.sleep(max(0.0, cut + CUT - stand.now()))
-        busy.reaches_store = True
-        busy.announce()
-        stand.log(f"{busy.id} reaches the store and reports again, the same start")
-    await asyncio.gather(*tasks)
-    worst = 0
-    for node in stand.nodes:
-        refused = refusals.get((busy, node.name))
-        if refused is None:
-            stand.log(f"{node.name} was never turned away")
-            continue
-        early = [at for at, engine, name in arrivals if engine is busy and name == node.name
-                 and refused + 0.5 < at < refused + RETRY_AFTER]
-        stand.log(f"{node.name} was turned away at {refused:.3f} for {RETRY_AFTER} s; {len(early)} "
-                  f"requests reached {busy.id} from it meanwhile, {ALLOWED} are allowed"
-                  + (f"; the first at {early[0]:.3f}" if early else ""))
-        worst = max(worst, len(early))
-    if not refusals:
-        raise RuntimeError("no request was turned away")
-    return worst > ALLOWED
+    end = stand.now() + 60
+    others = [asyncio.create_task(sound(stand, node, rng, end))
+              for node in stand.nodes for _ in range(3)]
+    await asyncio.sleep(3.0)
+    n = 0
+    while stand.now() < end - 6:
+        # No two alike: path, body and last part differ.
+        requester = Requester(stand, stand.nodes[n % len(stand.nodes)])
+        n += 1
+        prompt = f"{SHARED}:800,{BAD}:410,{rng.getrandbits(32):08x}:250"
+        status, _, _ = await requester.send(
+            "POST", f"/draft/{rng.getrandbits(32):08x}", {
+                "Model": "m", "Token-Usage": "1460,80", "Prompt-Prefix": prompt},
+            f"prompt {n}".encode(), key=KEY)
+        stand.log(f"request {n} with the part {BAD} by {requester.node.name}: status {status}")
+        requester.close()
+        await asyncio.sleep(2.0)
+    await asyncio.gather(*others)
+    fifth = crashes[4] if len(crashes) > 4 else None
+    late = [it for it in arrivals if fifth is not None and it > fifth + CONTACT]
+    stand.log(f"{len(crashes)} crashes, the fifth at {fifth}; {len(late)} requests with the part "
+              f"reached engines later than {CONTACT} s after it, {ALLOWED} are allowed")
+    return len(late) > ALLOWED
 
 
 run(main, __file__)
--- a/review/15/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/usr/bin/env bash
-cd "$(dirname "$0")" && exec python3 case.py
