rollout: silence does not complete an order; nodes without contact object

Cause: isClear() left out nodes without a report for 2.1 s because their grants had ended. A node without a grant uses the old servers, so that its silence says the opposite. Members were compared by number, so that an earlier start of a node made up for a later one that was never heard. Nodes without contact did not learn of the end, although the store has it.

Change: every node that may be up confirms that it is closed, for a time that the report promises. A node whose reports are not answered for 1 s writes the status again as it is, which makes the holder's conditional write of `completed` fail wherever it is, and learns the end of the order from the same key. Nothing is called in the store while the holder answers.

The tests of exposure and of the time of sound rollouts pass unchanged.

Tried first: objections while the holder answers but cannot act. They delayed completions by 3 s after each outage of the store (RolloutSurvivesHolderAndStoreInEachState failed), so that a node now objects in that case only when its grant for closing ends.

--- a/packages/daemon/edge/Edge.cpp
+++ b/packages/daemon/edge/Edge.cpp
@@ -139,6 +139,7 @@
       relay::tick(edge.Relay, out, now, edge.Rng);
     });
     detail::tickRolloutReports(edge);
+    detail::tickRolloutContact(edge);
   });
   net::every(edge.Timers, SlowTick, [&edge] { slowTick(edge); });
   net::every(edge.Timers, SettingsPeriod, [&edge] { reloadSettings(edge); });
--- a/packages/daemon/edge/EdgeDetail.h
+++ b/packages/daemon/edge/EdgeDetail.h
@@ -126,6 +126,10 @@
 /// The store has come back from an older copy.
 void onRolloutsRestored(Edge &edge);
 
+// EdgeRolloutContact.cpp
+/// Follows rollouts in the store while the holder answers no report of this node.
+void tickRolloutContact(Edge &edge);
+
 // EdgeRolloutHolder.cpp
 /// Returns the grant for the report of a node; nothing unless this node holds the duty and conducts
 /// the rollout.
--- a/packages/daemon/edge/EdgeRolloutHolder.cpp
+++ b/packages/daemon/edge/EdgeRolloutHolder.cpp
@@ -23,6 +23,12 @@
 constexpr Duration FreshEnd = 5s;
 constexpr Duration EndNoticePeriod = 5s;
 
+// Between readings of the status for objections. The wait for them begins anew with each, so that
+// one that is found late holds the rollout back.
+constexpr Duration ObjectionCheckPeriod = 500ms;
+// The nodes objected while there was no holder, until it has answered their reports.
+constexpr Duration TakeOverTime = 2s;
+
 // All nodes that know of an order report within this time.
 constexpr Duration ReportsTime = 600ms;
 
@@ -43,7 +49,7 @@
           .TargetSlots = capacity.TargetSlots,
           .OldSlots = capacity.OldSlots,
           .TargetServers = capacity.TargetServers,
-          .LiveNodes = edge.Relay.LiveNodes};
+          .LiveNodes = {}};
 }
 
 void noteFailure(Edge &edge, HolderItem &item) {
@@ -90,12 +96,27 @@
   return true;
 }
 
+/// A status that was written again without another state is an objection (EdgeRolloutContact.cpp).
+void noteObjection(Edge &edge, ConductedRollout &conducted) {
+  onObjection(*conducted.Controller, net::readNow());
+  count(edge.Counters, "rollout_objection", "heard");
+  logLine(edge, "rollout", "rollout_objection_heard",
+          {{"service", conducted.Order.Service},
+           {"target", conducted.Order.Target},
+           {"state", toString(conducted.Controller->State)},
+           {"status_revision", std::to_string(conducted.StatusItem.Revision)}});
+}
+
 void onStatusItem(Edge &edge, ConductedRollout &conducted, const PlatformAnswer &answer) {
+  const std::uint64_t before = conducted.StatusItem.Revision;
   if (!takeItem(edge, conducted.StatusItem, conducted.Status, answer,
                 adapter::parseRolloutStatus) ||
       !conducted.Controller)
     return;
   const auto &status = conducted.Status;
+  if (status && status->State == rollout::StatusState::Active &&
+      conducted.StatusItem.Revision != before)
+    noteObjection(edge, conducted);
   // The write whose answer was lost has taken effect if the status says so.
   if (conducted.WrittenStatus)
     onStatusWritten(*conducted.Controller, *conducted.WrittenStatus,
@@ -105,6 +126,18 @@
   onStatusRead(*conducted.Controller, status);
 }
 
+void onObjectionCheck(Edge &edge, ConductedRollout &conducted, const PlatformAnswer &answer) {
+  const auto read = answer.Status == 200 ? adapter::readItem(answer.Body) : std::nullopt;
+  const auto status = read ? std::optional(adapter::parseRolloutStatus(*read)) : std::nullopt;
+  // A write that is under way finds out by its condition.
+  if (!status || !*status || (*status)->State != rollout::StatusState::Active ||
+      !conducted.StatusItem.IsKnown || conducted.StatusItem.IsBusy ||
+      read->Revision == conducted.StatusItem.Revision)
+    return;
+  conducted.StatusItem.Revision = read->Revision;
+  noteObjection(edge, conducted);
+}
+
 void onMarkItem(Edge &edge, ConductedRollout &conducted, const PlatformAnswer &answer) {
   if (!takeItem(edge, conducted.MarkItem, conducted.Mark, answer, adapter::parseRolloutMark) ||
       !conducted.Controller || !conducted.WrittenMark)
@@ -229,6 +262,24 @@
   }
 }
 
+void checkObjections(Edge &edge, ConductedRollout &conducted, const Now &now) {
+  HolderItem &check = conducted.ObjectionCheck;
+  if (check.IsBusy || now.Steady < check.NextCall)
+    return;
+  check.NextCall = now.Steady + ObjectionCheckPeriod;
+  callAbout(edge, conducted, &ConductedRollout::ObjectionCheck,
+            adapter::itemCall(edge.Settings.Edge.StoreAddress,
+                              adapter::rolloutStatusKey(conducted.Order.Service)),
+            onObjectionCheck);
+}
+
+std::vector<std::string> liveNodes(const Edge &edge) {
+  std::vector<std::string> out{selfKey(edge)};
+  for (const NodeId &it : otherMembers(edge))
+    out.push_back(nodeKey(it));
+  return out;
+}
+
 void conduct(Edge &edge, ConductedRollout &conducted, const Now &now) {
   readItems(edge, conducted, now);
   if (!conducted.Controller) {
@@ -244,7 +295,7 @@
   // Late in an order, a holder that takes over would revert a good version for lack of evidence
   // before the nodes have reported again.
   const bool isResumed = conducted.Mark && conducted.Mark->Order == conducted.Order.Revision;
-  if (isResumed && conducted.Controller->Nodes.size() < in.LiveNodes &&
+  if (isResumed && conducted.Controller->Nodes.size() < edge.Relay.LiveNodes &&
       now.Steady - conducted.Begun < ReportsTime)
     in.MayAct = false;
   // After an outage the old servers may be missing from the list for a while; the target is then
@@ -252,8 +303,13 @@
   if (conducted.Controller->State == rollout::State::Waiting &&
       (returnTimeLeft(edge, now) > Duration{0} || now.Steady < edge.KeepMissingUntil))
     in.MayAct = false;
+  if (conducted.Controller->State == rollout::State::Closing)
+    in.LiveNodes = liveNodes(edge);
   for (const rollout::Action &it : tick(*conducted.Controller, in, now))
     carryOut(edge, conducted, it);
+  const bool hasTakenOver = isResumed && now.Steady - conducted.Begun < TakeOverTime;
+  if (hasTakenOver || lacksReports(*conducted.Controller, in, now))
+    checkObjections(edge, conducted, now);
   notifyNodes(edge, conducted, now);
 }
 
--- a/packages/daemon/edge/EdgeRolloutTest.cpp
+++ b/packages/daemon/edge/EdgeRolloutTest.cpp
@@ -272,6 +272,57 @@
   BOOST_TEST(f.runUntil([&] { return f.hasStatus("active") && f.ToTarget > 0; }, 2s));
 }
 
+// Guards against old servers that stop while a node uses them that the holder doesn't hear, and
+// against a node that doesn't learn of the end then.
+BOOST_AUTO_TEST_CASE(NodeWithoutContactObjectsAndLearnsTheEnd) {
+  for (const std::uint32_t end : {1U, 2U}) {
+    RolloutFixture f(false);
+    f.order();
+    f.startTarget();
+    BOOST_REQUIRE(f.runUntil([&] { return f.knowsOrder(); }, 1s));
+    const auto write = [&](const char *state) {
+      f.Store.put(StatusKey, {{"state", state}, {"target", "v2"}});
+      return f.Store.Items.at(StatusKey).second;
+    };
+    std::uint64_t revision = write("active");
+    const std::string value = f.Store.Items.at(StatusKey).first;
+    // The holder waits for 3 s for the next objection.
+    for (int i = 0; i < 3; ++i) {
+      BOOST_TEST(
+          f.runUntil([&] { return f.Store.Items.at(StatusKey).second != revision; }, 2500ms));
+      BOOST_TEST(f.Store.Items.at(StatusKey).first == value);
+      revision = f.Store.Items.at(StatusKey).second;
+    }
+    revision = write(end == 1 ? "completed" : "reverted");
+    BOOST_TEST(f.runUntil([&] { return f.hasEnded(end); }, 2500ms));
+    f.runUntil([] { return false; }, 1500ms);
+    BOOST_TEST(f.Store.Items.at(StatusKey).second == revision);
+  }
+}
+
+// Guards against an objection that is overlooked: the write of `completed` must not replace it, and
+// the rollout must still be completed once no more come.
+BOOST_AUTO_TEST_CASE(ObjectionHoldsTheCompletionBack) {
+  RolloutFixture f;
+  TimePoint objected{};
+  f.Store.OnWrite = [&](const std::string &key, const std::string &value) {
+    if (key != StatusKey)
+      return WriteFault::None;
+    f.Written.push_back(adapter::textOf(*adapter::parseObject(value), "state").value_or(""));
+    if (f.Written.back() == "completed" && objected == TimePoint{}) {
+      objected = net::readNow().Steady;
+      f.Store.put(StatusKey, {{"state", "active"}, {"target", "v2"}});
+    }
+    return WriteFault::None;
+  };
+  f.order();
+  f.startTarget();
+  BOOST_TEST(f.runUntil([&] { return f.hasEnded(1); }, 14s));
+  BOOST_TEST((net::readNow().Steady - objected >= 3s));
+  BOOST_TEST(f.Written == (std::vector<std::string>{"active", "completed", "completed"}),
+             boost::test_tools::per_element());
+}
+
 // Guards against requests that go to the target without a grant or after its end, and against a
 // holder that does not learn how the target answers.
 BOOST_AUTO_TEST_CASE(RequestsOfCallersFollowTheGrants) {
--- a/packages/daemon/edge/EdgeRollouts.cpp
+++ b/packages/daemon/edge/EdgeRollouts.cpp
@@ -143,6 +143,7 @@
   edge.Rollouts.Orders.clear();
   edge.Rollouts.Forwarded.clear();
   edge.Rollouts.Conducted.clear();
+  edge.Rollouts.ContactChecks.clear();
 }
 
 } // namespace chervil::daemon::detail
--- a/packages/daemon/edge/RolloutState.h
+++ b/packages/daemon/edge/RolloutState.h
@@ -29,6 +29,18 @@
   TimePoint NextCall{};
 };
 
+/// How a node that lacks contact to the holder follows a rollout in the store.
+struct ContactCheck {
+  bool IsBusy = false;
+  TimePoint NextCall{};
+  /// Revision of the status when this node last found that there was an objection; 0 before.
+  std::uint64_t Revision = 0;
+  /// Revision of the status that this node could not replace although nobody else had; 0 if none.
+  std::uint64_t Refused = 0;
+  /// Revision of the order that has gone from the store; 0 if none has. Nobody can complete it.
+  std::uint64_t GoneOrder = 0;
+};
+
 /// The rollout of one service as the holder of the duty conducts it.
 struct ConductedRollout {
   /// Tells it from other rollouts of the service, to which answers of the store may belong.
@@ -39,6 +51,8 @@
   TimePoint Begun{};
   HolderItem StatusItem;
   HolderItem MarkItem;
+  /// Readings of the status for objections of other nodes.
+  HolderItem ObjectionCheck;
   /// Values as last read.
   std::optional<rollout::Status> Status;
   std::optional<rollout::Mark> Mark;
@@ -64,6 +78,8 @@
   std::uint64_t Token = 0;
   std::uint64_t NextId = 1;
   TimePoint NextReport{};
+  /// By service, while the node lacks contact to the holder.
+  std::map<std::string, ContactCheck> ContactChecks;
   /// Last report by service, for the counters of responses.
   std::map<std::string, message::RolloutReport> Counted;
 };
--- a/packages/message/RolloutGrant.h
+++ b/packages/message/RolloutGrant.h
@@ -24,6 +24,9 @@
   std::uint64_t Token = 0;
   /// Number of the report that is answered; 0 for a notice.
   std::uint64_t Seq = 0;
+  /// Number of the report that the holder has heard, whether it grants anything or not; 0 for a
+  /// notice.
+  std::uint64_t Heard = 0;
   /// Requests that may be sent to the target before the next report. Without a meaning if Bounded
   /// is false.
   std::uint32_t Units = 0;
--- a/packages/message/RolloutReport.h
+++ b/packages/message/RolloutReport.h
@@ -32,7 +32,7 @@
   std::uint64_t Seen = 0;
   /// Requests in flight to the old servers that their immediate stop would harm.
   std::uint64_t OldOpen = 0;
-  /// All new requests go to the target.
+  /// All new requests go to the target, for rollout::ClosedTime from this report on at least.
   bool Closed = false;
   std::vector<RolloutCounts> Counts;
 };
--- a/packages/rollout/Controller.cpp
+++ b/packages/rollout/Controller.cpp
@@ -45,8 +45,10 @@
 constexpr Duration LoadTime = 1500ms;
 // A report older than this does not tell where the node sends its requests now: its grant may end.
 constexpr Duration FreshTime = 1s;
-// Longer than any grant, so that a silent node sends nothing to the target any more.
-constexpr Duration SilentTime = 2100ms;
+// A node that has been without contact to this holder for this long has objected, if it reaches the
+// store: after 1 s (NodeShare.cpp), the time to its next report and that of a call. It repeats the
+// objection within the same time.
+constexpr Duration SilentTime = 3s;
 // Part of the old servers' slots, in thousandths, without which nothing is completed.
 constexpr std::uint32_t LeastCapacity = 800;
 // Time that load test, shift and closing take at most.
@@ -187,19 +189,24 @@
   return now.Steady - c.Entered >= ShiftTime && capacityPermille(in) >= LeastCapacity;
 }
 
+bool isFresh(const NodeRecord &it, const Now &now) { return now.Steady - it.Heard <= FreshTime; }
+
+/// Every node that may be up has said lately that an immediate stop of the old servers would harm
+/// nothing. Silence says nothing: a node without a grant uses the old servers. Nodes that are not
+/// known to be up are left out once they would have objected, and the write of the status fails if
+/// they have.
 bool isClear(const Controller &c, const Inputs &in, const Now &now) {
+  if (now.Steady - c.Objected < SilentTime || lacksReports(c, in, now))
+    return false;
   std::size_t heard = 0;
   for (const auto &[name, it] : c.Nodes) {
-    const Duration age = now.Steady - it.Heard;
-    if (age > SilentTime)
+    if (!isFresh(it, now))
       continue;
-    if (age > FreshTime || !it.Report.Closed || it.Report.OldOpen != 0)
+    if (!it.Report.Closed || it.Report.OldOpen != 0)
       return false;
     ++heard;
   }
-  // Nodes that were never heard of may have learned of the order just now.
-  const bool knowsAll = c.Nodes.size() >= in.LiveNodes || now.Steady - c.Entered > SilentTime;
-  return heard > 0 && knowsAll;
+  return heard > 0;
 }
 
 struct Step {
@@ -401,6 +408,7 @@
   c.Limits = limits;
   c.Entered = now.Steady;
   c.Started = now.Wall;
+  c.Objected = now.Steady;
   if (mark && mark->Order == order.Revision) {
     c.Mark = mark;
     c.Started = mark->Started;
@@ -457,6 +465,7 @@
   node.Report = report;
   node.Heard = now.Steady;
   node.Units = 0;
+  out.Heard = report.Seq;
   if (!in.MayAct)
     return out;
   fillShare(c, out, in, now);
@@ -551,6 +560,21 @@
   c.ActiveWritten = c.FinalWritten = true;
 }
 
+void onObjection(Controller &c, const Now &now) { c.Objected = now.Steady; }
+
+bool lacksReports(const Controller &c, const Inputs &in, const Now &now) {
+  if (c.State != State::Closing)
+    return false;
+  const auto isUnknown = [&](const std::string &name) {
+    const auto it = c.Nodes.find(name);
+    return it == c.Nodes.end() || !isFresh(it->second, now);
+  };
+  return std::ranges::any_of(in.LiveNodes, isUnknown) ||
+         std::ranges::any_of(c.Nodes, [&](const auto &it) {
+           return !isFresh(it.second, now) && now.Steady - it.second.Heard < SilentTime;
+         });
+}
+
 void onMarkWritten(Controller &c, const Mark &mark, bool written) {
   c.MarkPending = false;
   if (written)
--- a/packages/rollout/Controller.h
+++ b/packages/rollout/Controller.h
@@ -48,8 +48,9 @@
   std::uint64_t TargetSlots = 0;
   std::uint64_t OldSlots = 0;
   std::size_t TargetServers = 0;
-  /// Nodes that are up, this one included.
-  std::size_t LiveNodes = 1;
+  /// Names of the nodes that are up as in their reports, this one included. Only used by tick() in
+  /// State::Closing.
+  std::vector<std::string> LiveNodes;
 };
 
 struct NodeRecord {
@@ -86,6 +87,8 @@
   bool ActiveWritten = false;
   bool FinalWritten = false;
   WallTime Started{};
+  /// When this holder began, or last learned that a node had objected to the completion.
+  TimePoint Objected{};
   /// Units that an earlier holder may have granted beyond what nodes have reported to this one.
   std::uint64_t Lost = 0;
   std::map<std::string, NodeRecord> Nodes;
@@ -134,6 +137,13 @@
 /// Handles the status as the store has it: another holder may have ended the rollout.
 void onStatusRead(Controller &c, const std::optional<Status> &status);
 
+/// Handles an objection: a node that does not hear from this holder may use the old servers.
+void onObjection(Controller &c, const Now &now);
+
+/// True while the rollout is closing and the holder does not know where some node sends its
+/// requests.
+bool lacksReports(const Controller &c, const Inputs &in, const Now &now);
+
 /// Requests that may have reached the target, and those seen, over all nodes.
 std::uint64_t exposedRequests(const Controller &c);
 std::uint64_t seenRequests(const Controller &c);
--- a/packages/rollout/ControllerTest.cpp
+++ b/packages/rollout/ControllerTest.cpp
@@ -149,6 +149,81 @@
     }
 }
 
+// Guards against old servers that stop while nodes use them that are cut off from the holder, or
+// that it has never heard, over random fleets, moments and lengths of the cut; and against a
+// rollout that does not end once the cut has healed.
+BOOST_AUTO_TEST_CASE(CutOffNodesHoldTheCompletionBack) {
+  int heldBack = 0;
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    Random rng(seed);
+    const auto pick = [&](std::initializer_list<int> of) {
+      return *(of.begin() + std::uniform_int_distribution<std::size_t>(0, of.size() - 1)(rng));
+    };
+    Scenario s;
+    s.Nodes = std::size_t(pick({2, 3, 5, 9, 24, 63, seed % 10 == 0 ? 300 : 4}));
+    s.RequestsPerSecond = pick({100, 200, 300});
+    s.Time = std::chrono::seconds(pick({8, 12, 20}));
+    s.Partitioned =
+        std::size_t(std::max(1, pick({1, int(s.Nodes) / 3, int(s.Nodes) / 2, int(s.Nodes) - 1})));
+    const Duration last = s.Time + 500ms;
+    s.PartitionedFrom =
+        std::chrono::milliseconds(std::uniform_int_distribution<int>(0, int(last / 1ms))(rng));
+    s.PartitionedFor = std::chrono::milliseconds(pick({300, 1500, 2500, 4000, 8000, 12000, 30000}));
+    if (pick({0, 0, 1}) == 1)
+      s.KillHolderIn = State::Closing;
+    s.Overtime = s.PartitionedFrom + s.PartitionedFor + 12s;
+    Model m(s, seed);
+    run(m);
+    const std::string text = "seed " + std::to_string(seed) + ", cut off " +
+                             std::to_string(s.Partitioned) + " from " +
+                             std::to_string(s.PartitionedFrom / 1ms) + " ms for " +
+                             std::to_string(s.PartitionedFor / 1ms) + " ms: " + describe(m);
+    BOOST_TEST(m.HarmedAtCompletion == 0U, text);
+    BOOST_TEST((isEverCompleted(m) || isReverted(m)), text);
+    heldBack += m.Store.Objections > 0 && isEverCompleted(m) ? 1 : 0;
+  }
+  BOOST_TEST_MESSAGE("completed after objections: " << heldBack);
+  BOOST_TEST(heldBack > 50);
+}
+
+// Guards against a completion for which a node that is up, or that has started again under its
+// name, was never heard.
+BOOST_AUTO_TEST_CASE(NodeThatIsUpButSilentHoldsTheCompletionBack) {
+  Model m({.Nodes = 3}, 1);
+  m.Nodes.clear();
+  Controller c = makeController(orderOf(m), {0.1, 50}, std::nullopt, std::nullopt, m.Time);
+  c.State = State::Closing;
+  Random rng(1);
+  Inputs in{.MayAct = true,
+            .TargetSlots = 4,
+            .OldSlots = 4,
+            .TargetServers = 1,
+            .LiveNodes = {"a/1", "b/2"}};
+  std::uint64_t seq = 0;
+  const auto closedFor = [&](Duration time, std::initializer_list<const char *> names) {
+    for (const TimePoint end = m.Time.Steady + time; m.Time.Steady < end;) {
+      m.Time.Steady += 100ms;
+      m.Time.Wall += 100ms;
+      ++seq;
+      for (const char *name : names)
+        onReport(c, {.Service = "s", .Order = 5, .Node = name, .Seq = seq, .Closed = true}, in,
+                 m.Time, rng);
+      tick(c, in, m.Time);
+    }
+    return c.State == State::Completed;
+  };
+  // The earlier start of b has reported.
+  BOOST_TEST(!closedFor(4s, {"a/1", "b/1"}));
+  BOOST_TEST(!closedFor(4s, {"a/1"}));
+  BOOST_TEST(closedFor(200ms, {"a/1", "b/2"}));
+  // It is not up any more, and has not objected.
+  c.State = State::Closing;
+  in.LiveNodes = {"a/1"};
+  onReport(c, {.Service = "s", .Order = 5, .Node = "b/2", .Seq = seq + 1}, in, m.Time, rng);
+  BOOST_TEST(!closedFor(2500ms, {"a/1"}));
+  BOOST_TEST(closedFor(1s, {"a/1"}));
+}
+
 // Guards against servers that never start, and an order for the version in force.
 BOOST_AUTO_TEST_CASE(OrderWithoutServersIsReverted) {
   Model m({.ServersStart = 100s}, 1);
--- a/packages/rollout/NodeShare.cpp
+++ b/packages/rollout/NodeShare.cpp
@@ -12,6 +12,10 @@
 constexpr Duration UnitsLifetime = 1s;
 constexpr Duration ShareLifetime = 2s;
 constexpr std::uint32_t Whole = 1000;
+// Objections have to be in the store well within the time for which the holder waits for them, and
+// before a grant for closing ends: a write of the holder may be on its way then.
+constexpr Duration ContactTime = 1s;
+constexpr Duration ClosingEndsTime = 500ms;
 
 message::RolloutCounts &countsOf(NodeShare &share, std::string_view route, bool target) {
   auto &counts = share.Counts[{std::string(route), target}];
@@ -40,6 +44,7 @@
     share = {};
     share.Grant = grant;
     share.Grant.Bounded = true;
+    share.Answered = now.Steady;
     return true;
   }
   if (grant.Ended != 0) {
@@ -48,6 +53,8 @@
     return true;
   }
   share.Grant.Token = grant.Token;
+  if (grant.Heard != 0 && grant.Heard == share.Seq)
+    share.Answered = share.Reported;
   // The holder no longer counts on units that were given up with a later report.
   if (grant.Seq == 0 || grant.Seq != share.Seq || share.Grant.Ended != 0)
     return false;
@@ -100,6 +107,13 @@
   return isInForce(share, now) && share.Grant.Closing;
 }
 
+bool lacksContact(const NodeShare &share, const Now &now) {
+  if (share.Grant.Target.empty() || share.Grant.Ended != 0)
+    return false;
+  return now.Steady - share.Answered > ContactTime ||
+         (share.Grant.Closing && share.Expires - now.Steady < ClosingEndsTime);
+}
+
 void onAnswer(NodeShare &share, std::string_view route, bool target, AnswerQuality quality) {
   if (share.Grant.Target.empty())
     return;
@@ -127,7 +141,7 @@
   out.Sent = share.Sent;
   out.Seen = share.Seen;
   out.OldOpen = oldOpen;
-  out.Closed = isClosed(share, now);
+  out.Closed = isClosed(share, now) && share.Expires - now.Steady >= ClosedTime;
   for (const auto &[key, counts] : share.Counts)
     out.Counts.push_back(counts);
   share.Units = 0;
--- a/packages/rollout/NodeShare.h
+++ b/packages/rollout/NodeShare.h
@@ -21,6 +21,10 @@
 
 namespace chervil::rollout {
 
+/// A node that reports that it is closed stays so for this long: the holder may rely on the report
+/// for a second, and the store has to take the write that follows from it.
+constexpr Duration ClosedTime = std::chrono::milliseconds(1200);
+
 enum class AnswerQuality : std::uint8_t { Good, Failed, Slow };
 
 struct NodeShare {
@@ -32,6 +36,9 @@
   /// Number and time of the last report.
   std::uint64_t Seq = 0;
   TimePoint Reported{};
+  /// When the last report was sent that the holder is known to have heard, or the order was
+  /// learned.
+  TimePoint Answered{};
   std::uint64_t Sent = 0;
   std::uint64_t Seen = 0;
   /// By route and whether it is the target.
@@ -60,6 +67,11 @@
 /// Returns true if new requests go only to the target.
 bool isClosed(const NodeShare &share, const Now &now);
 
+/// The order is open and the holder has answered no report for a while, or a grant for closing
+/// ends. The node then has to object to the completion of the order: the holder may leave it out,
+/// or rely on an earlier report.
+bool lacksContact(const NodeShare &share, const Now &now);
+
 /// Notes an answer that is evidence.
 void onAnswer(NodeShare &share, std::string_view route, bool target, AnswerQuality quality);
 /// Withdraws a failed answer: the request failed at the other version as well.
--- a/packages/rollout/RolloutModel.h
+++ b/packages/rollout/RolloutModel.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace chervil::rollout::test {
@@ -45,6 +46,13 @@
   std::optional<State> StoreGoneIn;
   /// Nodes, counted from the last, that neither send to nor hear from the holder from 3 s on.
   std::size_t CutOff = 0;
+  /// Nodes, counted from the last, that are cut off from the holder only, and for how long. They
+  /// reach the store.
+  std::size_t Partitioned = 0;
+  Duration PartitionedFrom = 3s;
+  Duration PartitionedFor = 100s;
+  /// How long after the end of the order the run goes on.
+  Duration Overtime = 500ms;
 };
 
 /// Servers of each version.
@@ -53,6 +61,8 @@
 struct StoreModel {
   std::optional<rollout::Status> Status;
   std::optional<rollout::Mark> Mark;
+  /// Times that a node has written the status again; a condition of the holder's writes.
+  std::uint64_t Objections = 0;
 };
 
 struct Event {
@@ -71,6 +81,10 @@
   std::vector<NodeShare> Nodes;
   std::vector<std::uint64_t> OldOpen;
   std::vector<TimePoint> NextReport;
+  std::vector<TimePoint> NextObjection;
+  /// Value of StoreModel::Objections as the holder has read it.
+  std::uint64_t KnownObjections = 0;
+  TimePoint HolderBegan{};
   std::optional<rollout::Controller> Holder;
   std::optional<TimePoint> HolderReturns;
   std::optional<TimePoint> StoreReturns;
@@ -90,7 +104,7 @@
 
   Model(const test::Scenario &scenario, std::uint64_t seed)
       : Scenario(scenario), Rng(seed), RetryRng(~seed), Nodes(scenario.Nodes),
-        OldOpen(scenario.Nodes), NextReport(scenario.Nodes) {}
+        OldOpen(scenario.Nodes), NextReport(scenario.Nodes), NextObjection(scenario.Nodes) {}
 };
 
 inline rollout::Order orderOf(const Model &m) {
@@ -109,13 +123,25 @@
   return sinceOrder(m) > 3s && node >= m.Nodes.size() - m.Scenario.CutOff;
 }
 
+inline bool isPartitioned(const Model &m, std::size_t node) {
+  const Duration since = sinceOrder(m) - m.Scenario.PartitionedFrom;
+  return node >= m.Nodes.size() - m.Scenario.Partitioned && since >= Duration{0} &&
+         since < m.Scenario.PartitionedFor;
+}
+
+inline bool reachesHolder(const Model &m, std::size_t node) {
+  return !isCutOff(m, node) && !isPartitioned(m, node);
+}
+
+inline std::string nameOf(std::size_t node) { return "n" + std::to_string(node); }
+
 inline Inputs inputsOf(const Model &m) {
   return {.MayAct = !m.StoreReturns,
           .Token = m.Token,
           .TargetSlots = sinceOrder(m) > m.Scenario.ServersStart ? 64U : 0U,
           .OldSlots = 64,
           .TargetServers = Servers,
-          .LiveNodes = m.Nodes.size()};
+          .LiveNodes = {}};
 }
 
 /// Load of the target's servers that the node uses.
@@ -174,12 +200,20 @@
         });
 }
 
+inline void readObjections(Model &m) {
+  if (std::exchange(m.KnownObjections, m.Store.Objections) != m.Store.Objections)
+    onObjection(*m.Holder, m.Time);
+}
+
 inline void carryOut(Model &m, const Action &it) {
   if (it.Type == Action::Kind::Step)
     return;
-  later(m, 5ms, [&m, it, token = m.Token] {
-    const bool writes = !m.StoreReturns && token == m.Token;
+  later(m, 5ms, [&m, it, token = m.Token, known = m.KnownObjections] {
     const bool isStatus = it.Type == Action::Kind::WriteStatus;
+    const bool objected = isStatus && known != m.Store.Objections;
+    const bool writes = !m.StoreReturns && token == m.Token && !objected;
+    if (m.Holder && token == m.Token)
+      readObjections(m);
     if (writes && isStatus) {
       m.Store.Status = Status{it.Status, "v2", 6};
       if (it.Status != StatusState::Active)
@@ -203,15 +237,27 @@
   // No report before the notice of the order; a node that is cut off reports to nobody.
   if (m.Nodes[node].Grant.Target.empty() || isCutOff(m, node))
     return;
-  const auto out = makeReport(m.Nodes[node], "n" + std::to_string(node), m.OldOpen[node], m.Time);
+  const auto out = makeReport(m.Nodes[node], nameOf(node), m.OldOpen[node], m.Time);
   later(m, 5ms, [&m, node, out] {
-    if (!m.Holder)
+    if (!m.Holder || !reachesHolder(m, node))
       return;
     const auto grant = onReport(*m.Holder, out, inputsOf(m), m.Time, m.Rng);
     later(m, 5ms, [&m, node, grant] { onGrant(m.Nodes[node], grant, m.Time); });
   });
 }
 
+/// Nodes without contact to the holder write the status again, if there is one.
+inline void object(Model &m, std::size_t node) {
+  if (!lacksContact(m.Nodes[node], m.Time) || isCutOff(m, node) || m.StoreReturns ||
+      m.Time.Steady < m.NextObjection[node])
+    return;
+  m.NextObjection[node] = m.Time.Steady + 1s;
+  later(m, 10ms, [&m] {
+    if (m.Store.Status && m.Store.Status->State == StatusState::Active)
+      ++m.Store.Objections;
+  });
+}
+
 inline void tickHolder(Model &m) {
   if (m.HolderReturns && m.Time.Steady >= *m.HolderReturns) {
     m.HolderReturns.reset();
@@ -222,8 +268,11 @@
     m.StoreReturns.reset();
   if (m.HolderReturns)
     return;
-  if (!m.Holder && !m.StoreReturns)
+  if (!m.Holder && !m.StoreReturns) {
     m.Holder = makeController(orderOf(m), {0.1, 50}, m.Store.Status, m.Store.Mark, m.Time);
+    m.KnownObjections = m.Store.Objections;
+    m.HolderBegan = m.Time.Steady;
+  }
   if (!m.Holder)
     return;
   if (!m.Failed && m.Holder->State == m.Scenario.StoreGoneIn) {
@@ -236,10 +285,18 @@
     m.HolderReturns = m.Time.Steady + 3s;
     return;
   }
-  for (const Action &it : tick(*m.Holder, inputsOf(m), m.Time))
+  Inputs in = inputsOf(m);
+  for (std::size_t n = 0; n < m.Nodes.size(); ++n)
+    if (reachesHolder(m, n))
+      in.LiveNodes.push_back(nameOf(n));
+  for (const Action &it : tick(*m.Holder, in, m.Time))
     carryOut(m, it);
+  const bool hasTakenOver = m.Token > 1 && m.Time.Steady - m.HolderBegan < 2s;
+  if (hasTakenOver || lacksReports(*m.Holder, in, m.Time))
+    readObjections(m);
   for (std::size_t n = 0; n < m.Nodes.size(); ++n)
-    if (!isCutOff(m, n) && (m.Nodes[n].Grant.Target.empty() || m.Holder->State == State::Reverted))
+    if (reachesHolder(m, n) &&
+        (m.Nodes[n].Grant.Target.empty() || m.Holder->State == State::Reverted))
       onGrant(m.Nodes[n], makeNotice(*m.Holder, inputsOf(m)), m.Time);
 }
 
@@ -251,7 +308,11 @@
     m.NextReport[n] = m.Time.Steady + std::chrono::milliseconds(int(draw(m) * 500));
   std::poisson_distribution<int> arrivals(m.Scenario.RequestsPerSecond / 50);
   std::uniform_int_distribution<std::size_t> pick(0, m.Nodes.size() - 1);
-  for (int step = 0; sinceOrder(m) < m.Scenario.Time + 500ms; ++step) {
+  // A node that does not reach the holder reads the order in the store.
+  for (std::size_t n = 0; n < m.Nodes.size(); ++n)
+    if (isPartitioned(m, n))
+      onGrant(m.Nodes[n], {.Service = "s", .Target = "v2", .Order = 5}, m.Time);
+  for (int step = 0; sinceOrder(m) < m.Scenario.Time + m.Scenario.Overtime; ++step) {
     m.Time.Steady += 20ms;
     m.Time.Wall += 20ms;
     while (!m.Events.empty() && m.Events.begin()->first <= m.Time.Steady) {
@@ -265,11 +326,13 @@
       if (m.Time.Steady >= m.NextReport[n]) {
         m.NextReport[n] += period;
         report(m, n);
+        object(m, n);
       }
     // At `completed` the old servers stop; later requests are of no interest here.
     if (m.Store.Status && m.Store.Status->State == StatusState::Completed)
       return;
-    for (int i = sinceOrder(m) < m.Scenario.Time ? arrivals(m.Rng) : 0; i > 0; --i)
+    const bool arrive = sinceOrder(m) < m.Scenario.Time || m.Scenario.Partitioned > 0;
+    for (int i = arrive ? arrivals(m.Rng) : 0; i > 0; --i)
       request(m, pick(m.Rng));
   }
 }
@@ -284,6 +347,10 @@
 inline bool isWithinBound(const Model &m) {
   return double(m.Exposed) <= 0.1 * double(m.Arrived) + 50;
 }
+/// Completed, at any time.
+inline bool isEverCompleted(const Model &m) {
+  return m.Store.Status && m.Store.Status->State == StatusState::Completed;
+}
 /// No request reached the target later than 5 s after its 50th bad answer.
 inline bool isLeftInTime(const Model &m) {
   return m.FiftiethBad == TimePoint{} || m.LastToTarget <= m.FiftiethBad + 5s;
--- a/packages/wire/detail/Fields.h
+++ b/packages/wire/detail/Fields.h
@@ -204,8 +204,8 @@
   return std::tie(m.Route, m.Permille);
 }
 template <MaybeConst<message::RolloutGrant> M> auto fields(M &m) {
-  return std::tie(m.Service, m.Target, m.Order, m.Token, m.Seq, m.Units, m.Bounded, m.SharePermille,
-                  m.Routes, m.Servers, m.Closing, m.Ended);
+  return std::tie(m.Service, m.Target, m.Order, m.Token, m.Seq, m.Heard, m.Units, m.Bounded,
+                  m.SharePermille, m.Routes, m.Servers, m.Closing, m.Ended);
 }
 
 /// A struct for which fields() is defined above.
