relay: a crash counts against its content wherever the answer breaks off

Cause: onBroken() recorded a crash of the content only while no byte of the body had come. A byte shows that the server has begun, not that the content is sound.

Change: each answer that breaks off counts, with the events that had arrived. Servers that end at the same moment count once, and starts of one server count apart.

CodecTest: the frames of CrashReport have two more fields; their lack and a negative value are checked too.

--- a/packages/relay/ActiveRequest.h
+++ b/packages/relay/ActiveRequest.h
@@ -81,6 +81,11 @@
   TimePoint NextMove{};
   /// Id of the last event forwarded to the caller.
   std::string LastEvent;
+  /// Events of its stream that have arrived, over all its calls.
+  std::uint32_t Events = 0;
+  /// Since when they are more than those after which a server crashed under the same content; the
+  /// epoch if they aren't.
+  TimePoint PassedCrashes{};
   /// Its part in the rollout of the service.
   VersionUse Versions;
 };
--- a/packages/relay/BackendEvents.cpp
+++ b/packages/relay/BackendEvents.cpp
@@ -88,13 +88,13 @@
   return true;
 }
 
-/// Handles a call whose connection ended. The server may have crashed while it ran the request.
+/// Handles a call whose connection ended. The server may have crashed while it ran the request,
+/// however much of the answer has arrived.
 void onBroken(Context &ctx, ActiveRequest &request) {
-  if (!request.Call.GotFirstByte) {
-    const message::CrashReport report = retry::recordCrash(
-        ctx.S.Quarantine, request.Info.ContentHash, request.Call.Backend, false, ctx.Time);
-    ctx.Out.push_back(Gossip{report});
-  }
+  ctx.Out.push_back(Gossip{retry::recordBrokenAnswer(ctx.S.Quarantine, request.Info.ContentHash,
+                                                     detail::startOf(ctx.S, request.Call.Backend),
+                                                     request.Call.Sent, request.Events, ctx.Time)});
+  request.PassedCrashes = {};
   detail::onAnswerBroke(ctx, request);
   detail::noteBroken(ctx, request);
   detail::onLost(ctx, request,
@@ -127,9 +127,30 @@
   ctx.Out.push_back(Gossip{std::move(*report)});
 }
 
+/// Handles events of a stream: one that goes on beyond the points at which earlier answers to its
+/// content broke off shows that these had another cause.
+void onEventsAdded(Context &ctx, ActiveRequest &request, std::uint32_t count) {
+  request.Events += count;
+  const auto broken =
+      retry::mostEventsOfCrash(ctx.S.Quarantine, request.Info.ContentHash, ctx.Time);
+  if (!broken || request.Events <= *broken) {
+    request.PassedCrashes = {};
+    return;
+  }
+  if (request.PassedCrashes == TimePoint{})
+    request.PassedCrashes = ctx.Time.Steady;
+  if (ctx.Time.Steady - request.PassedCrashes < detail::AnswerBeginTime)
+    return;
+  request.PassedCrashes = {};
+  detail::logRequest(ctx, request, "content_cleared", {{"events", std::to_string(request.Events)}});
+  ctx.Out.push_back(Gossip{
+      retry::recordProgress(ctx.S.Quarantine, request.Info.ContentHash, request.Events, ctx.Time)});
+}
+
 /// Forwards bytes of a stream. On resumable routes, only complete events that the caller does not
 /// have yet are forwarded.
 void streamEvents(Context &ctx, ActiveRequest &request, std::string_view bytes) {
+  const std::uint32_t before = request.Call.Progress.Fields;
   if (advance(request.Call.Progress, bytes)) {
     request.Call.LastProgress = ctx.Time.Steady;
     // A server that was silent goes on.
@@ -138,10 +159,12 @@
     detail::noteEvent(request, ctx.Time);
   }
   if (!request.Route->Resumable) {
+    onEventsAdded(ctx, request, request.Call.Progress.Fields - before);
     ctx.Out.push_back(StreamBytes{request.Id, std::string(bytes)});
     return;
   }
   std::string complete;
+  std::uint32_t added = 0;
   for (const std::string &event : splitEvents(request.Call.Events, bytes)) {
     const std::string_view id = eventId(event);
     if (!id.empty() && isAlreadyDelivered(id, request.LastEvent))
@@ -149,7 +172,9 @@
     if (!id.empty())
       request.LastEvent = id;
     complete += event;
+    ++added;
   }
+  onEventsAdded(ctx, request, added);
   if (!complete.empty())
     ctx.Out.push_back(StreamBytes{request.Id, std::move(complete)});
 }
--- a/packages/relay/EventProgress.cpp
+++ b/packages/relay/EventProgress.cpp
@@ -30,6 +30,7 @@
       continue;
     }
     progressed = progressed || progress.HasValue;
+    progress.Fields += progress.HasValue ? 1 : 0;
     progress.AtBoundary = progress.Length == 0;
     progress.Length = 0;
     progress.HasValue = false;
--- a/packages/relay/EventProgress.h
+++ b/packages/relay/EventProgress.h
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <string_view>
 
 namespace chervil::relay {
@@ -21,6 +22,8 @@
   bool HasValue = false;
   /// The last byte ended an event, or none has arrived. A stream that ends elsewhere was cut off.
   bool AtBoundary = true;
+  /// Data fields with a value that are complete.
+  std::uint32_t Fields = 0;
 };
 
 /// Takes the next bytes. Returns true if they complete a data field that is not empty.
--- a/packages/relay/detail/SuspectParts.cpp
+++ b/packages/relay/detail/SuspectParts.cpp
@@ -10,12 +10,6 @@
 namespace chervil::relay::detail {
 namespace {
 
-/// Identifies one start of a server, alike on all nodes.
-std::uint64_t startHash(State &state, const std::string &id) {
-  const Backend *server = find(state.Servers, id);
-  return hashBytes(id, server == nullptr ? 0 : server->Entry.Born);
-}
-
 bool hasJustBegun(const ActiveRequest &request, const Now &now) {
   return request.Call.AnswerBegan != TimePoint{} && !request.Call.AnswerWentOn &&
          (!request.Call.GotFirstByte || now.Steady - request.Call.AnswerBegan < AnswerBeginTime);
@@ -35,14 +29,20 @@
 
 } // namespace
 
+std::string startOf(State &state, const std::string &id) {
+  const Backend *server = find(state.Servers, id);
+  return server == nullptr ? id : id + "/" + std::to_string(server->Entry.Born);
+}
+
 void onAnswerBroke(Context &ctx, const ActiveRequest &request) {
   retry::Parts parts = sharedParts(request.Info.Prompt);
   if (parts.empty() || !hasJustBegun(request, ctx.Time))
     return;
   logRequest(ctx, request, "prompt_suspect", {{"parts", formatParts(parts)}});
   ctx.Out.push_back(IncrementCounter{"backend_misbehaved", "broke_at_begin"});
-  share(ctx, retry::recordDeath(ctx.S.PartQuarantine, startHash(ctx.S, request.Call.Backend),
-                                {std::move(parts)}, ctx.Time));
+  share(ctx,
+        retry::recordDeath(ctx.S.PartQuarantine, hashBytes(startOf(ctx.S, request.Call.Backend)),
+                           {std::move(parts)}, ctx.Time));
 }
 
 void onAnswerProgress(Context &ctx, ActiveRequest &request, bool isComplete) {
--- a/packages/relay/detail/SuspectParts.h
+++ b/packages/relay/detail/SuspectParts.h
@@ -13,6 +13,9 @@
 /// Retry-After for requests that crash servers: long after callers of such a request give up.
 inline constexpr std::chrono::milliseconds QuarantineRetryAfter = std::chrono::seconds(60);
 
+/// Identifies one start of a server, alike on all nodes: a server may start again under its id.
+std::string startOf(State &state, const std::string &id);
+
 /// Handles an answer that broke off: if it had just begun, its prompt is suspect.
 void onAnswerBroke(Context &ctx, const ActiveRequest &request);
 
--- a/packages/retry/Quarantine.cpp
+++ b/packages/retry/Quarantine.cpp
@@ -9,41 +9,57 @@
 // A quarantine lasts for QuarantineTime after the latest crash.
 TimePoint crashExpiry(const ContentCrashes &crashes) {
   TimePoint latest = TimePoint::min();
-  for (const auto &[backend, until] : crashes.Backends)
-    latest = std::max(latest, until);
+  for (const auto &[backend, crash] : crashes.Backends)
+    latest = std::max(latest, crash.Until);
   return latest;
 }
 
 // An entry also lives as long as its latest answer, so that a late report of an earlier crash does
 // not count.
 TimePoint expiry(const ContentCrashes &crashes) {
-  return std::max(crashExpiry(crashes), crashes.AnsweredUntil.value_or(TimePoint::min()));
+  return std::max({crashExpiry(crashes), crashes.AnsweredUntil.value_or(TimePoint::min()),
+                   crashes.PassedUntil.value_or(TimePoint::min())});
 }
 
-// Drops the crashes before an answered request. Returns true if there were any.
+// Drops the crashes that an answer has refuted. Returns true if there were any.
 bool dropAnswered(ContentCrashes &crashes) {
   const std::size_t dropped = std::erase_if(crashes.Backends, [&](const auto &it) {
-    return crashes.AnsweredUntil && it.second <= *crashes.AnsweredUntil;
+    const Crash &crash = it.second;
+    return (crashes.AnsweredUntil && crash.Until <= *crashes.AnsweredUntil) ||
+           (crashes.PassedUntil && crash.Until <= *crashes.PassedUntil &&
+            crash.Events < crashes.PassedEvents);
   });
   if (crashes.Backends.empty())
     crashes.CrashedAlone = false;
   return dropped > 0;
 }
 
-bool mergeAnswer(Quarantine &quarantine, std::uint64_t contentHash, TimePoint until) {
+// `events` is 0 for a complete answer.
+bool mergeAnswer(Quarantine &quarantine, std::uint64_t contentHash, TimePoint until,
+                 std::uint32_t events) {
   const auto it = quarantine.Crashes.find(contentHash);
   if (it == quarantine.Crashes.end())
     return false;
-  it->second.AnsweredUntil = std::max(it->second.AnsweredUntil.value_or(until), until);
-  return dropAnswered(it->second);
+  ContentCrashes &crashes = it->second;
+  std::optional<TimePoint> &known = events == 0 ? crashes.AnsweredUntil : crashes.PassedUntil;
+  known = std::max(known.value_or(until), until);
+  crashes.PassedEvents = std::max(crashes.PassedEvents, events);
+  return dropAnswered(crashes);
+}
+
+// True if another back end is known to have crashed under the content at this moment.
+bool isKnownOutage(const ContentCrashes &crashes, TimePoint until) {
+  return std::ranges::any_of(crashes.Backends, [&](const auto &it) {
+    return std::chrono::abs(it.second.Until - until) < SameOutage;
+  });
 }
 
 // Keeps the back ends that crashed last. Ties are broken by name, so that the result does not
 // depend on the order of merges.
-void evictOldestBackends(std::map<std::string, TimePoint> &backends) {
+void evictOldestBackends(std::map<std::string, Crash> &backends) {
   while (backends.size() > MaxBackendsPerContent)
     backends.erase(std::ranges::min_element(backends, [](const auto &a, const auto &b) {
-      return std::pair(a.second, a.first) < std::pair(b.second, b.first);
+      return std::pair(a.second.Until, a.first) < std::pair(b.second.Until, b.first);
     }));
 }
 
@@ -95,7 +111,7 @@
 std::optional<message::CrashReport> recordAnswer(Quarantine &quarantine, std::uint64_t contentHash,
                                                  TimePoint sent, const Now &now) {
   const TimePoint until = sent + QuarantineTime;
-  if (until <= now.Steady || !mergeAnswer(quarantine, contentHash, until))
+  if (until <= now.Steady || !mergeAnswer(quarantine, contentHash, until, 0))
     return std::nullopt;
   return message::CrashReport{
       contentHash,
@@ -128,6 +144,40 @@
   return report;
 }
 
+message::CrashReport recordBrokenAnswer(Quarantine &quarantine, std::uint64_t contentHash,
+                                        const std::string &backend, TimePoint sent,
+                                        std::uint32_t events, const Now &now) {
+  const auto last = lastCrash(quarantine, contentHash, now);
+  message::CrashReport report{contentHash,
+                              {backend},
+                              std::chrono::duration_cast<std::chrono::milliseconds>(QuarantineTime),
+                              false,
+                              false,
+                              events,
+                              !last || sent < *last};
+  mergeCrashReport(quarantine, report, now);
+  return report;
+}
+
+std::optional<std::uint32_t> mostEventsOfCrash(const Quarantine &quarantine,
+                                               std::uint64_t contentHash, const Now &now) {
+  const auto it = quarantine.Crashes.find(contentHash);
+  if (it == quarantine.Crashes.end())
+    return std::nullopt;
+  std::optional<std::uint32_t> most;
+  for (const auto &[backend, crash] : it->second.Backends)
+    if (crash.Until > now.Steady)
+      most = std::max(most.value_or(0), crash.Events);
+  return most;
+}
+
+message::CrashReport recordProgress(Quarantine &quarantine, std::uint64_t contentHash,
+                                    std::uint32_t events, const Now &now) {
+  mergeAnswer(quarantine, contentHash, now.Steady + QuarantineTime, events);
+  return {contentHash, {},   std::chrono::duration_cast<std::chrono::milliseconds>(QuarantineTime),
+          false,       true, events};
+}
+
 bool mergeCrashReport(Quarantine &quarantine, const message::CrashReport &report, const Now &now) {
   // The lifetime in a report is reduced by its transit time. Without this threshold, small
   // differences would count as new and nodes would forward the same report to each other forever.
@@ -136,7 +186,7 @@
   if (lifetime <= Duration::zero())
     return false;
   if (report.Answered)
-    return mergeAnswer(quarantine, report.ContentHash, now.Steady + lifetime);
+    return mergeAnswer(quarantine, report.ContentHash, now.Steady + lifetime, report.Events);
   if (report.Backends.empty())
     return false;
   ContentCrashes &crashes = quarantine.Crashes[report.ContentHash];
@@ -144,9 +194,12 @@
     crashes = {};
   const ContentCrashes before = crashes;
   const TimePoint until = now.Steady + lifetime;
+  if (report.Concurrent && isKnownOutage(crashes, until))
+    return false;
   for (const std::string &it : report.Backends) {
-    TimePoint &known = crashes.Backends.try_emplace(it, until).first->second;
-    known = std::max(known, until);
+    Crash &known = crashes.Backends.try_emplace(it, until, report.Events).first->second;
+    known.Until = std::max(known.Until, until);
+    known.Events = std::max(known.Events, report.Events);
   }
   crashes.CrashedAlone |= report.Alone;
   dropAnswered(crashes);
@@ -155,7 +208,7 @@
       crashes.CrashedAlone != before.CrashedAlone ||
       std::ranges::any_of(crashes.Backends, [&](const auto &it) {
         const auto old = before.Backends.find(it.first);
-        return old == before.Backends.end() || it.second - old->second >= minExtension;
+        return old == before.Backends.end() || it.second.Until - old->second.Until >= minExtension;
       });
   evictOldestContent(quarantine);
   return isNew;
@@ -164,13 +217,14 @@
 std::vector<message::CrashReport> allCrashReports(const Quarantine &quarantine, const Now &now) {
   std::vector<message::CrashReport> result;
   for (const auto &[hash, crashes] : quarantine.Crashes)
-    for (const auto &[backend, until] : crashes.Backends)
-      if (until > now.Steady)
+    for (const auto &[backend, crash] : crashes.Backends)
+      if (crash.Until > now.Steady)
         result.push_back({hash,
                           {backend},
-                          std::chrono::ceil<std::chrono::milliseconds>(until - now.Steady),
+                          std::chrono::ceil<std::chrono::milliseconds>(crash.Until - now.Steady),
                           crashes.CrashedAlone,
-                          false});
+                          false,
+                          crash.Events});
   return result;
 }
 
--- a/packages/retry/Quarantine.h
+++ b/packages/retry/Quarantine.h
@@ -45,15 +45,32 @@
   Quarantined,
 };
 
+/// Crashes less than this apart, under requests that were sent before them, count as one: back ends
+/// that end together, in an outage, say nothing about what they were running.
+inline constexpr Duration SameOutage = std::chrono::milliseconds(50);
+
+struct Crash {
+  /// When it expires.
+  TimePoint Until{};
+  /// Events of the answer that had arrived.
+  std::uint32_t Events = 0;
+
+  bool operator==(const Crash &) const = default;
+};
+
 /// Back ends that crashed while they ran one content.
 struct ContentCrashes {
-  /// When the crash expires, by back end.
-  std::map<std::string, TimePoint> Backends;
+  /// By back end.
+  std::map<std::string, Crash> Backends;
   /// At least one of them crashed while the content ran as a suspect.
   bool CrashedAlone = false;
   /// When a crash at the moment at which the last answered request was sent would expire. Crashes
   /// that expire earlier were before it and do not count.
   std::optional<TimePoint> AnsweredUntil;
+  /// The same for the last answer that went on beyond such a point, and the largest number of events
+  /// that one had. Crashes with as many events or more still count.
+  std::optional<TimePoint> PassedUntil;
+  std::uint32_t PassedEvents = 0;
 
   bool operator==(const ContentCrashes &) const = default;
 };
@@ -97,8 +114,24 @@
 message::CrashReport recordCrash(Quarantine &quarantine, std::uint64_t contentHash,
                                  const std::string &backend, bool alone, const Now &now);
 
+/// The same for an answer that broke off after `events` events. The request was sent to the back end
+/// at `sent`.
+message::CrashReport recordBrokenAnswer(Quarantine &quarantine, std::uint64_t contentHash,
+                                        const std::string &backend, TimePoint sent,
+                                        std::uint32_t events, const Now &now);
+
+/// Returns the most events after which an answer to the content broke off; empty if none did.
+std::optional<std::uint32_t> mostEventsOfCrash(const Quarantine &quarantine,
+                                               std::uint64_t contentHash, const Now &now);
+
+/// Records that an answer to the content has gone on after `events` events, which ends the suspicion
+/// from crashes that were earlier in the answer. Returns the report for the peers.
+message::CrashReport recordProgress(Quarantine &quarantine, std::uint64_t contentHash,
+                                    std::uint32_t events, const Now &now);
+
 /// Merges the report of a peer. Returns true if it contained something new and should be forwarded.
-/// Merging is commutative and idempotent.
+/// Merging is commutative and idempotent, but for reports with Concurrent: of the crashes of one
+/// outage, each node keeps the first that it hears of.
 bool mergeCrashReport(Quarantine &quarantine, const message::CrashReport &report, const Now &now);
 
 /// Returns all crashes that have not expired, for a node that has just started.
--- a/packages/retry/QuarantineTest.cpp
+++ b/packages/retry/QuarantineTest.cpp
@@ -125,6 +125,46 @@
   BOOST_TEST(allCrashReports(q, at(13s)).empty());
 }
 
+// Guards against a sound content that is refused because servers ended under long answers to it,
+// and against one that always breaks off at the same point and is cleared by getting there.
+BOOST_AUTO_TEST_CASE(ProgressEndsTheSuspicionOfEarlierPoints) {
+  Quarantine q;
+  Quarantine peer;
+  const auto first = recordBrokenAnswer(q, 7, "e1", at(0s).Steady, 3, at(1s));
+  mergeCrashReport(peer, first, at(1s));
+  mergeCrashReport(peer, recordBrokenAnswer(q, 7, "e2", at(2s).Steady, 9, at(3s)), at(3s));
+  BOOST_TEST((mostEventsOfCrash(q, 7, at(3s)) == 9U));
+  const auto report = recordProgress(q, 7, 9, at(4s));
+  BOOST_TEST(crashCount(q, 7, at(4s)) == 1U);
+  BOOST_TEST(mergeCrashReport(peer, report, at(4s)));
+  BOOST_TEST(!mergeCrashReport(peer, first, at(1s)));
+  BOOST_TEST(crashCount(peer, 7, at(4s)) == 1U);
+  recordProgress(q, 7, 10, at(5s));
+  BOOST_TEST(crashCount(q, 7, at(5s)) == 0U);
+  BOOST_TEST(!mostEventsOfCrash(q, 7, at(5s)).has_value());
+  // A later crash counts again.
+  recordBrokenAnswer(q, 7, "e3", at(5s).Steady, 3, at(6s));
+  BOOST_TEST(crashCount(q, 7, at(6s)) == 1U);
+}
+
+// Guards against a content in many requests that is refused because several servers ended at once.
+BOOST_AUTO_TEST_CASE(ServersOfOneOutageCountOnce) {
+  Quarantine q;
+  Quarantine peer;
+  for (int i = 0; i < 4; ++i) {
+    const std::string name = "e" + std::to_string(i);
+    const Now time = at(1s + i * 10ms);
+    mergeCrashReport(peer, recordBrokenAnswer(q, 7, name, at(500ms).Steady, 0, time), time);
+  }
+  BOOST_TEST(crashCount(q, 7, at(2s)) == 1U);
+  BOOST_TEST(crashCount(peer, 7, at(2s)) == 1U);
+  // Sent after a crash under the same content, and crashed at once.
+  recordBrokenAnswer(q, 7, "e5", at(1031ms).Steady, 0, at(1035ms));
+  BOOST_TEST(crashCount(q, 7, at(2s)) == 2U);
+  recordBrokenAnswer(q, 7, "e6", at(1s).Steady, 0, at(1500ms));
+  BOOST_TEST(crashCount(q, 7, at(2s)) == 3U);
+}
+
 // Guards against a probe that comes too soon, and against one that never comes.
 BOOST_AUTO_TEST_CASE(RefusedContentIsProbedLessOftenWithEachCrash) {
   Quarantine q;
--- a/packages/wire/CodecTest.cpp
+++ b/packages/wire/CodecTest.cpp
@@ -161,10 +161,12 @@
   BOOST_TEST((codeOf(type(26, name, 1, 1.5, false)) == ResultCode::PeerBadFrame));
   BOOST_TEST((codeOf(type(26, name, 1, NAN, false, 1)) == ResultCode::PeerBadFrame));
   const std::vector<std::string> none;
-  BOOST_TEST((codeOf(type(25, 1, none, 5, false, false)) == ResultCode::Ok));
-  BOOST_TEST(
-      (codeOf(type(25, 1, none, ~std::uint64_t{0}, false, false)) == ResultCode::PeerBadFrame));
-  BOOST_TEST((codeOf(type(25, 1, none, -5, false, false)) == ResultCode::PeerBadFrame));
+  BOOST_TEST((codeOf(type(25, 1, none, 5, false, false, 0, false)) == ResultCode::Ok));
+  BOOST_TEST((codeOf(type(25, 1, none, ~std::uint64_t{0}, false, false, 0, false)) ==
+              ResultCode::PeerBadFrame));
+  BOOST_TEST((codeOf(type(25, 1, none, -5, false, false, 0, false)) == ResultCode::PeerBadFrame));
+  BOOST_TEST((codeOf(type(25, 1, none, 5, false, false, -1, false)) == ResultCode::PeerBadFrame));
+  BOOST_TEST((codeOf(type(25, 1, none, 5, false, false, 0)) == ResultCode::PeerBadFrame));
   // An enumerator beyond the last value: SubmitReply (type 7) with its decision out of range.
   const std::vector<std::string> key = {"c", "k"};
   BOOST_TEST((codeOf(type(7, key, 1, 2, 0, 0, 0, 0)) == ResultCode::Ok));
--- a/packages/wire/detail/Fields.h
+++ b/packages/wire/detail/Fields.h
@@ -115,7 +115,8 @@
 template <MaybeConst<message::DemandReport> M> auto fields(M &m) { return std::tie(m.Demands); }
 template <MaybeConst<message::ShareGrant> M> auto fields(M &m) { return std::tie(m.Shares); }
 template <MaybeConst<message::CrashReport> M> auto fields(M &m) {
-  return std::tie(m.ContentHash, m.Backends, m.Lifetime, m.Alone, m.Answered);
+  return std::tie(m.ContentHash, m.Backends, m.Lifetime, m.Alone, m.Answered, m.Events,
+                  m.Concurrent);
 }
 template <MaybeConst<message::BackendStatus> M> auto fields(M &m) {
   return std::tie(m.Backend, m.Seq, m.SlowFactor, m.Leaving, m.Born);
