relay, http: an answer that breaks inside its head is evidence against its parts

Cause: the quarantine of parts asked for a complete head, and the HTTP client did not tell an incomplete one from no byte at all. Related: the time after which an answer has gone on was counted from the head, so that the first byte behind an early head passed for an answer that goes on, and silence after the first bytes cleared it.

Change: http::End tells that a connection ended inside the head of a response to the call. An answer that broke off is suspect from its first byte until bytes arrive 0.5 s or more after the first byte of its body. A connection that ends before any byte is no evidence, as before.

Measured: AnswersThatBreakAsTheyBeginAreSuspect with the decision as it was (a trial): "in the head", "in a late event" and "a while after a byte" fail; all seven points hold now.

--- a/packages/daemon/edge/EdgeEffects.cpp
+++ b/packages/daemon/edge/EdgeEffects.cpp
@@ -22,7 +22,7 @@
   case http::Failure::NotSent:
     return relay::BackendEnd::NotSent;
   default:
-    return relay::BackendEnd::Broken;
+    return end.EndedInHead ? relay::BackendEnd::BrokenInHead : relay::BackendEnd::Broken;
   }
 }
 
--- a/packages/http/BrokenAnswerTest.cpp
+++ b/packages/http/BrokenAnswerTest.cpp
@@ -76,6 +76,37 @@
 
 BOOST_AUTO_TEST_SUITE(HttpBrokenAnswers)
 
+// Guards against a server that ends as it begins its answer and passes for one that has written
+// nothing, and against bytes of other answers that pass for such a beginning.
+BOOST_AUTO_TEST_CASE(EndInsideTheHeadIsTold) {
+  const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: 1\r\nContent-Length: 2\r\n\r\n";
+  const std::string whole = head + "ok";
+  for (std::size_t n = 0; n < whole.size(); ++n) {
+    Fixture f;
+    f.answer(whole.substr(0, n));
+    BOOST_REQUIRE(f.Ends.size() == 1U);
+    BOOST_TEST((f.Ends[0].Failure == Failure::Broken));
+    BOOST_TEST(f.Ends[0].EndedInHead == (n > 0 && n < head.size()), n);
+  }
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+  const std::string other = "HTTP/1.1 200 OK\r\nX-Other: 1\r\nContent-Length: 2\r\n\r\nno";
+  for (const auto &[bytes, began] : {std::pair(interim, true), std::pair(interim + "HT", true),
+                                     std::pair(other, false), std::pair(other + "HT", true)}) {
+    Fixture f;
+    startCall(*f.It, {.Address = f.Address, .Head = {"GET", "/x", {}}},
+              {.Accepts = [](const ResponseHead &it) { return !find(it.Fields, "X-Other"); },
+               .OnHead = {},
+               .OnData = {},
+               .OnEnd = [&](const End &end) { f.Ends.push_back(end); }});
+    const int fd = f.take();
+    BOOST_TEST(f.gets(fd, "\r\n\r\n"));
+    sendText(fd, bytes);
+    close(fd);
+    BOOST_TEST(f.runUntil([&] { return f.Ends.size() == 1; }));
+    BOOST_TEST(f.Ends[0].EndedInHead == began, bytes);
+  }
+}
+
 // Guards against a status that no server may send and that is reported as an answer.
 BOOST_AUTO_TEST_CASE(InvalidStatusIsNoAnswer) { refuseAll(net::test::answersOfInvalidStatus()); }
 
--- a/packages/http/Client.cpp
+++ b/packages/http/Client.cpp
@@ -60,6 +60,8 @@
   std::unique_ptr<ResponseReader> Reader;
   TimePoint Started{};
   bool HeadSeen = false;
+  /// Bytes of a response that may be of this call have arrived.
+  bool Began = false;
   /// The response being read is not of this call.
   bool Ignoring = false;
   /// Body bytes read, and responses skipped.
@@ -123,7 +125,8 @@
   const std::unique_ptr<ActiveCall> call = std::move(it->second);
   client.Calls.erase(it);
   const End end{failure, call->Link != nullptr && call->Link->Reused,
-                call->Reader->EndsWithConnection};
+                call->Reader->EndsWithConnection,
+                failure == Failure::Broken && call->Began && !call->HeadSeen};
   if (call->Link != nullptr && call->Link->CallId == id)
     dropConnection(*call->Link);
   if (call->Events.OnEnd)
@@ -208,6 +211,7 @@
       return;
     ActiveCall &call = *it->second;
     Connection &link = *call.Link;
+    call.Began = call.Began || !link.In.empty();
     const std::size_t used = feed(*call.Reader, link.In);
     link.In.erase(0, used);
     call.Received += call.Reader->Body.size();
@@ -238,6 +242,8 @@
       endCall(client, id, Failure::TooManyResponses);
       return;
     }
+    // An interim response is of this call.
+    call.Began = !call.Ignoring;
     call.Reader = std::make_unique<ResponseReader>();
     call.HeadSeen = call.Ignoring = false;
   }
--- a/packages/http/Client.h
+++ b/packages/http/Client.h
@@ -73,6 +73,9 @@
   /// The response had no length and was ended by the orderly close of the connection, after the
   /// server had received the whole request.
   bool EndedByClose = false;
+  /// The connection ended inside the head of a response to this call, as far as that can be told
+  /// from an incomplete head.
+  bool EndedInHead = false;
 };
 
 struct CallEvents {
--- a/packages/relay/BackendEvents.cpp
+++ b/packages/relay/BackendEvents.cpp
@@ -32,6 +32,7 @@
   if (request.Call.GotFirstByte)
     return;
   request.Call.GotFirstByte = true;
+  request.Call.FirstByteAt = ctx.Time.Steady;
   if (request.FirstByte == TimePoint{})
     request.FirstByte = ctx.Time.Steady;
   if (!request.Info.Prompt.empty())
@@ -90,12 +91,12 @@
 
 /// Handles a call whose connection ended. The server may have crashed while it ran the request,
 /// however much of the answer has arrived.
-void onBroken(Context &ctx, ActiveRequest &request) {
+void onBroken(Context &ctx, ActiveRequest &request, bool isInHead) {
   ctx.Out.push_back(Gossip{retry::recordBrokenAnswer(ctx.S.Quarantine, request.Info.ContentHash,
                                                      detail::startOf(ctx.S, request.Call.Backend),
                                                      request.Call.Sent, request.Events, ctx.Time)});
   request.PassedCrashes = {};
-  detail::onAnswerBroke(ctx, request);
+  detail::onAnswerBroke(ctx, request, isInHead);
   detail::noteBroken(ctx, request);
   detail::onLost(ctx, request,
                  request.Call.Status != 0 ? ResultCode::BackendBadAnswer : ResultCode::BackendDied);
@@ -302,7 +303,7 @@
     // A server that dies closes its connections too. Half an event, or no body at all, shows it.
     const bool lacksBody = end == BackendEnd::Closed && !request.Call.GotFirstByte;
     if (lacksBody || (isStreamed(request) && !request.Call.Progress.AtBoundary))
-      onBroken(ctx, request);
+      onBroken(ctx, request, false);
     else
       onCompleteAnswer(ctx, request);
     return;
@@ -316,7 +317,8 @@
     onRejected(ctx, request, ResultCode::BackendConnectFailed);
     return;
   case BackendEnd::Broken:
-    onBroken(ctx, request);
+  case BackendEnd::BrokenInHead:
+    onBroken(ctx, request, end == BackendEnd::BrokenInHead);
     return;
   }
 }
--- a/packages/relay/BackendHead.h
+++ b/packages/relay/BackendHead.h
@@ -35,6 +35,8 @@
   NotSent,
   /// The answer was cut off or did not arrive.
   Broken,
+  /// The same, inside the head of the answer: the server had begun to write it.
+  BrokenInHead,
   /// The server sent more than an answer can hold, or bytes that are no answer. The call was ended.
   Excessive,
 };
--- a/packages/relay/CrashingContentTest.cpp
+++ b/packages/relay/CrashingContentTest.cpp
@@ -27,6 +27,7 @@
 
 constexpr Point Points[] = {
     {.What = "before a byte", .HasHead = false},
+    {.What = "in the head", .HasHead = false, .How = BackendEnd::BrokenInHead},
     {.What = "after the head"},
     {.What = "in the first event", .Rest = "id: 1\nda"},
     {.What = "in the first event, closed", .Rest = "id: 1\nda", .How = BackendEnd::Closed},
--- a/packages/relay/ServerCall.h
+++ b/packages/relay/ServerCall.h
@@ -35,6 +35,7 @@
   bool AnswerWentOn = false;
   /// The first byte of the body has arrived.
   bool GotFirstByte = false;
+  TimePoint FirstByteAt{};
   /// Body received so far, if the answer is not streamed.
   std::string Body;
   /// Splits the stream into events.
--- a/packages/relay/SuspectPartsTest.cpp
+++ b/packages/relay/SuspectPartsTest.cpp
@@ -110,6 +110,46 @@
   BOOST_TEST(f.S.PartQuarantine.Deaths.empty());
 }
 
+// Guards against a part that crashes servers at any point of the beginning of an answer and leaves
+// no evidence there.
+BOOST_AUTO_TEST_CASE(AnswersThatBreakAsTheyBeginAreSuspect) {
+  struct Point {
+    const char *What;
+    bool HasHead;
+    const char *Bytes;
+    Duration FirstByte;
+    Duration End;
+    BackendEnd How;
+  };
+  for (const Point &it :
+       {Point{"in the head", false, "", 0ms, 20ms, BackendEnd::BrokenInHead},
+        Point{"after the head", true, "", 0ms, 20ms, BackendEnd::Broken},
+        Point{"long after the head", true, "", 0ms, 900ms, BackendEnd::Broken},
+        Point{"in an event", true, "id: 1\nda", 5ms, 5ms, BackendEnd::Broken},
+        Point{"in a late event", true, "id", 800ms, 5ms, BackendEnd::Broken},
+        Point{"a while after a byte", true, "i", 5ms, 700ms, BackendEnd::Closed},
+        Point{"after an event", true, "data: 1\n\n", 5ms, 90ms, BackendEnd::Broken}}) {
+    BOOST_TEST_CONTEXT(it.What) {
+      PromptFixture f;
+      for (int i = 0; i < 3; ++i) {
+        f.ask({Shared, Bad}, "/once/x");
+        const CallId call = f.call().Call;
+        if (it.HasHead)
+          f.head(call, 200);
+        f.wait(it.FirstByte);
+        if (*it.Bytes != '\0')
+          f.bytes(call, it.Bytes);
+        f.wait(it.End);
+        f.end(call, it.How);
+        f.wait(2s);
+      }
+      BOOST_TEST(f.S.PartQuarantine.Deaths.size() == 3U);
+      f.ask({Shared, Bad}, "/once/x");
+      BOOST_TEST(f.all<CallBackend>().empty());
+    }
+  }
+}
+
 // Guards against a node that starts and hears nothing of what is quarantined.
 BOOST_AUTO_TEST_CASE(QuarantinesAreToldAgain) {
   PromptFixture f;
--- a/packages/relay/detail/SuspectParts.cpp
+++ b/packages/relay/detail/SuspectParts.cpp
@@ -10,9 +10,8 @@
 namespace chervil::relay::detail {
 namespace {
 
-bool hasJustBegun(const ActiveRequest &request, const Now &now) {
-  return request.Call.AnswerBegan != TimePoint{} && !request.Call.AnswerWentOn &&
-         (!request.Call.GotFirstByte || now.Steady - request.Call.AnswerBegan < AnswerBeginTime);
+bool hasJustBegun(const ActiveRequest &request, bool isInHead) {
+  return isInHead || (request.Call.AnswerBegan != TimePoint{} && !request.Call.AnswerWentOn);
 }
 
 std::string formatParts(const std::vector<std::uint64_t> &parts) {
@@ -34,9 +33,9 @@
   return server == nullptr ? id : id + "/" + std::to_string(server->Entry.Born);
 }
 
-void onAnswerBroke(Context &ctx, const ActiveRequest &request) {
+void onAnswerBroke(Context &ctx, const ActiveRequest &request, bool isInHead) {
   retry::Parts parts = sharedParts(request.Info.Prompt);
-  if (parts.empty() || !hasJustBegun(request, ctx.Time))
+  if (parts.empty() || !hasJustBegun(request, isInHead))
     return;
   logRequest(ctx, request, "prompt_suspect", {{"parts", formatParts(parts)}});
   ctx.Out.push_back(IncrementCounter{"backend_misbehaved", "broke_at_begin"});
@@ -49,7 +48,7 @@
   if (request.Call.AnswerWentOn || request.Info.Prompt.size() < 2)
     return;
   if (!isComplete &&
-      (!request.Call.GotFirstByte || ctx.Time.Steady - request.Call.AnswerBegan < AnswerBeginTime))
+      (!request.Call.GotFirstByte || ctx.Time.Steady - request.Call.FirstByteAt < AnswerBeginTime))
     return;
   request.Call.AnswerWentOn = true;
   share(ctx,
--- a/packages/relay/detail/SuspectParts.h
+++ b/packages/relay/detail/SuspectParts.h
@@ -6,8 +6,8 @@
 
 namespace chervil::relay::detail {
 
-/// An answer that goes on for this long after its head has begun well: a part of a prompt that
-/// crashes servers does so with the first bytes.
+/// An answer that goes on for this long after the first byte of its body has begun well: a part of a
+/// prompt that crashes servers does so with the first bytes.
 inline constexpr Duration AnswerBeginTime = std::chrono::milliseconds(500);
 
 /// Retry-After for requests that crash servers: long after callers of such a request give up.
@@ -17,7 +17,7 @@
 std::string startOf(State &state, const std::string &id);
 
 /// Handles an answer that broke off: if it had just begun, its prompt is suspect.
-void onAnswerBroke(Context &ctx, const ActiveRequest &request);
+void onAnswerBroke(Context &ctx, const ActiveRequest &request, bool isInHead);
 
 /// Handles bytes of an answer, or its end: after a good beginning its prompt is not suspect.
 void onAnswerProgress(Context &ctx, ActiveRequest &request, bool isComplete);
