relay: the first late break of a content isn't told to a large fleet

Cause: since crashes count wherever an answer breaks off, each server that ends would have sent a report for each of its streams to all nodes (by reading: some 50 streams x 295 nodes x 4 messages).

Measured: OtherNodesAreToldOfCrashesThatAreEvidence; the tests of package relay pass.

--- a/packages/relay/BackendEvents.cpp
+++ b/packages/relay/BackendEvents.cpp
@@ -26,6 +26,9 @@
 constexpr unsigned EventsPerSample = 16;
 // Answers up to this size are collected even if the bound of all answers is reached.
 constexpr std::size_t SmallAnswerBytes = 64 * 1024;
+// In a larger fleet, the first answer to a content that breaks off after it has gone on is not told
+// to the other nodes: a server that ends has dozens of such answers, and each is seldom the cause.
+constexpr std::size_t SmallFleet = 16;
 
 /// Handles the first byte of an answer.
 void onAnswerStarted(Context &ctx, ActiveRequest &request) {
@@ -89,12 +92,22 @@
   return true;
 }
 
+/// The answer has gone on for a while after its first byte.
+bool hasGoneOn(const ActiveRequest &request, const Now &now) {
+  return request.Call.GotFirstByte &&
+         now.Steady - request.Call.FirstByteAt >= detail::AnswerBeginTime;
+}
+
 /// Handles a call whose connection ended. The server may have crashed while it ran the request,
 /// however much of the answer has arrived.
 void onBroken(Context &ctx, ActiveRequest &request, bool isInHead) {
-  ctx.Out.push_back(Gossip{retry::recordBrokenAnswer(ctx.S.Quarantine, request.Info.ContentHash,
-                                                     detail::startOf(ctx.S, request.Call.Backend),
-                                                     request.Call.Sent, request.Events, ctx.Time)});
+  const bool isRepeated =
+      retry::crashCount(ctx.S.Quarantine, request.Info.ContentHash, ctx.Time) > 0;
+  message::CrashReport report = retry::recordBrokenAnswer(
+      ctx.S.Quarantine, request.Info.ContentHash, detail::startOf(ctx.S, request.Call.Backend),
+      request.Call.Sent, request.Events, ctx.Time);
+  if (isRepeated || !hasGoneOn(request, ctx.Time) || ctx.S.LiveNodes <= SmallFleet)
+    ctx.Out.push_back(Gossip{std::move(report)});
   request.PassedCrashes = {};
   detail::onAnswerBroke(ctx, request, isInHead);
   detail::noteBroken(ctx, request);
--- a/packages/relay/CrashingContentTest.cpp
+++ b/packages/relay/CrashingContentTest.cpp
@@ -112,6 +112,35 @@
       }
 }
 
+// Guards against a flood of reports in a large fleet whenever a server ends, and against a content
+// that crashes servers on one node after the other because no node is told.
+BOOST_AUTO_TEST_CASE(OtherNodesAreToldOfCrashesThatAreEvidence) {
+  const auto isTold = [](std::size_t nodes, int events, int crashes) {
+    CrashFixture f;
+    f.S.LiveNodes = nodes;
+    bool told = false;
+    for (int i = 0; i < crashes; ++i) {
+      f.Out.clear();
+      f.request("/once/x", "key", Content);
+      const CallId id = f.call().Call;
+      f.head(id, 200);
+      f.events(id, 0, events);
+      f.Out.clear();
+      f.end(id, BackendEnd::Broken);
+      told = std::ranges::any_of(f.all<Gossip>(), [](const Gossip &it) {
+        return std::holds_alternative<message::CrashReport>(it.Message);
+      });
+      f.wait(1s);
+    }
+    return told;
+  };
+  BOOST_TEST(isTold(300, 0, 1));
+  BOOST_TEST(isTold(300, 5, 1));
+  BOOST_TEST(!isTold(300, 25, 1));
+  BOOST_TEST(isTold(300, 25, 2));
+  BOOST_TEST(isTold(9, 25, 1));
+}
+
 // Guards against a server that starts again under its id and passes for the same: two servers can
 // then crash without end.
 BOOST_AUTO_TEST_CASE(StartsOfOneServerAreCrashesOfTheirOwn) {
