retry: aggregate in place of an implicit constructor, format

Cause: clang does not construct aggregates in try_emplace() in C++20, so that lint failed on Quarantine.cpp; three headers were not formatted.

Change: no behaviour.

--- a/packages/message/CrashReport.h
+++ b/packages/message/CrashReport.h
@@ -22,9 +22,9 @@
   /// before the request was sent. Backends is empty, and Lifetime is that of a crash at this
   /// moment.
   bool Answered = false;
-  /// Events of the answer, over all sends of the request, when the back ends died. With Answered: the
-  /// answer was not complete but went on beyond the point at which this number had arrived; 0 if it
-  /// was complete.
+  /// Events of the answer, over all sends of the request, when the back ends died. With Answered:
+  /// the answer was not complete but went on beyond the point at which this number had arrived; 0
+  /// if it was complete.
   std::uint32_t Events = 0;
   /// No earlier crash under the content was known when the request was sent: a crash at the same
   /// moment may have the same cause.
--- a/packages/relay/detail/SuspectParts.h
+++ b/packages/relay/detail/SuspectParts.h
@@ -6,8 +6,8 @@
 
 namespace chervil::relay::detail {
 
-/// An answer that goes on for this long after the first byte of its body has begun well: a part of a
-/// prompt that crashes servers does so with the first bytes.
+/// An answer that goes on for this long after the first byte of its body has begun well: a part of
+/// a prompt that crashes servers does so with the first bytes.
 inline constexpr Duration AnswerBeginTime = std::chrono::milliseconds(500);
 
 /// Retry-After for requests that crash servers: long after callers of such a request give up.
--- a/packages/retry/Quarantine.cpp
+++ b/packages/retry/Quarantine.cpp
@@ -197,7 +197,7 @@
   if (report.Concurrent && isKnownOutage(crashes, until))
     return false;
   for (const std::string &it : report.Backends) {
-    Crash &known = crashes.Backends.try_emplace(it, until, report.Events).first->second;
+    Crash &known = crashes.Backends.try_emplace(it, Crash{until, report.Events}).first->second;
     known.Until = std::max(known.Until, until);
     known.Events = std::max(known.Events, report.Events);
   }
--- a/packages/retry/Quarantine.h
+++ b/packages/retry/Quarantine.h
@@ -67,8 +67,8 @@
   /// When a crash at the moment at which the last answered request was sent would expire. Crashes
   /// that expire earlier were before it and do not count.
   std::optional<TimePoint> AnsweredUntil;
-  /// The same for the last answer that went on beyond such a point, and the largest number of events
-  /// that one had. Crashes with as many events or more still count.
+  /// The same for the last answer that went on beyond such a point, and the largest number of
+  /// events that one had. Crashes with as many events or more still count.
   std::optional<TimePoint> PassedUntil;
   std::uint32_t PassedEvents = 0;
 
@@ -114,8 +114,8 @@
 message::CrashReport recordCrash(Quarantine &quarantine, std::uint64_t contentHash,
                                  const std::string &backend, bool alone, const Now &now);
 
-/// The same for an answer that broke off after `events` events. The request was sent to the back end
-/// at `sent`.
+/// The same for an answer that broke off after `events` events. The request was sent to the back
+/// end at `sent`.
 message::CrashReport recordBrokenAnswer(Quarantine &quarantine, std::uint64_t contentHash,
                                         const std::string &backend, TimePoint sent,
                                         std::uint32_t events, const Now &now);
@@ -124,8 +124,8 @@
 std::optional<std::uint32_t> mostEventsOfCrash(const Quarantine &quarantine,
                                                std::uint64_t contentHash, const Now &now);
 
-/// Records that an answer to the content has gone on after `events` events, which ends the suspicion
-/// from crashes that were earlier in the answer. Returns the report for the peers.
+/// Records that an answer to the content has gone on after `events` events, which ends the
+/// suspicion from crashes that were earlier in the answer. Returns the report for the peers.
 message::CrashReport recordProgress(Quarantine &quarantine, std::uint64_t contentHash,
                                     std::uint32_t events, const Now &now);
 
