relay, retry: first breaks after a byte aren't told to a large fleet

Cause: the reports of crashes, and of answers that refute them, went to all of 63 nodes for each stream that a server's end had cut off.

Change: in a fleet of more than 16 nodes the first break of a content after a byte of its answer stays with the node that saw it, and so does what refutes it.

--- a/packages/relay/BackendEvents.cpp
+++ b/packages/relay/BackendEvents.cpp
@@ -26,8 +26,9 @@
 constexpr unsigned EventsPerSample = 16;
 // Answers up to this size are collected even if the bound of all answers is reached.
 constexpr std::size_t SmallAnswerBytes = 64 * 1024;
-// In a larger fleet, the first answer to a content that breaks off after it has gone on is not told
-// to the other nodes: a server that ends has dozens of such answers, and each is seldom the cause.
+// In a larger fleet, the first answer to a content that breaks off after its first byte is not told
+// to the other nodes: a server that ends has dozens of such answers, and the reports of many
+// servers overloaded a fleet of 63 nodes.
 constexpr std::size_t SmallFleet = 16;
 
 /// Handles the first byte of an answer.
@@ -92,21 +93,16 @@
   return true;
 }
 
-/// The answer has gone on for a while after its first byte.
-bool hasGoneOn(const ActiveRequest &request, const Now &now) {
-  return request.Call.GotFirstByte &&
-         now.Steady - request.Call.FirstByteAt >= detail::AnswerBeginTime;
-}
-
 /// Handles a call whose connection ended. The server may have crashed while it ran the request,
 /// however much of the answer has arrived.
 void onBroken(Context &ctx, ActiveRequest &request, bool isInHead) {
   const bool isRepeated =
       retry::crashCount(ctx.S.Quarantine, request.Info.ContentHash, ctx.Time) > 0;
+  const bool isTold = isRepeated || !request.Call.GotFirstByte || ctx.S.LiveNodes <= SmallFleet;
   message::CrashReport report = retry::recordBrokenAnswer(
       ctx.S.Quarantine, request.Info.ContentHash, detail::startOf(ctx.S, request.Call.Backend),
-      request.Call.Sent, request.Events, ctx.Time);
-  if (isRepeated || !hasGoneOn(request, ctx.Time) || ctx.S.LiveNodes <= SmallFleet)
+      request.Call.Sent, request.Events, isTold, ctx.Time);
+  if (isTold)
     ctx.Out.push_back(Gossip{std::move(report)});
   request.PassedCrashes = {};
   detail::onAnswerBroke(ctx, request, isInHead);
@@ -157,8 +153,9 @@
     return;
   request.PassedCrashes = {};
   detail::logRequest(ctx, request, "content_cleared", {{"events", std::to_string(request.Events)}});
-  ctx.Out.push_back(Gossip{
-      retry::recordProgress(ctx.S.Quarantine, request.Info.ContentHash, request.Events, ctx.Time)});
+  if (auto report = retry::recordProgress(ctx.S.Quarantine, request.Info.ContentHash,
+                                          request.Events, ctx.Time))
+    ctx.Out.push_back(Gossip{std::move(*report)});
 }
 
 /// Forwards bytes of a stream. On resumable routes, only complete events that the caller does not
--- a/packages/relay/CrashingContentTest.cpp
+++ b/packages/relay/CrashingContentTest.cpp
@@ -135,8 +135,9 @@
     return told;
   };
   BOOST_TEST(isTold(300, 0, 1));
-  BOOST_TEST(isTold(300, 5, 1));
+  BOOST_TEST(!isTold(300, 1, 1));
   BOOST_TEST(!isTold(300, 25, 1));
+  BOOST_TEST(isTold(300, 1, 2));
   BOOST_TEST(isTold(300, 25, 2));
   BOOST_TEST(isTold(9, 25, 1));
 }
--- a/packages/retry/Quarantine.cpp
+++ b/packages/retry/Quarantine.cpp
@@ -111,7 +111,8 @@
 std::optional<message::CrashReport> recordAnswer(Quarantine &quarantine, std::uint64_t contentHash,
                                                  TimePoint sent, const Now &now) {
   const TimePoint until = sent + QuarantineTime;
-  if (until <= now.Steady || !mergeAnswer(quarantine, contentHash, until, 0))
+  if (until <= now.Steady || !mergeAnswer(quarantine, contentHash, until, 0) ||
+      !quarantine.Crashes.at(contentHash).IsShared)
     return std::nullopt;
   return message::CrashReport{
       contentHash,
@@ -146,7 +147,9 @@
 
 message::CrashReport recordBrokenAnswer(Quarantine &quarantine, std::uint64_t contentHash,
                                         const std::string &backend, TimePoint sent,
-                                        std::uint32_t events, const Now &now) {
+                                        std::uint32_t events, bool isShared, const Now &now) {
+  const auto known = quarantine.Crashes.find(contentHash);
+  const bool wasShared = known != quarantine.Crashes.end() && known->second.IsShared;
   const auto last = lastCrash(quarantine, contentHash, now);
   message::CrashReport report{contentHash,
                               {backend},
@@ -156,6 +159,7 @@
                               events,
                               !last || sent < *last};
   mergeCrashReport(quarantine, report, now);
+  quarantine.Crashes[contentHash].IsShared = isShared || wasShared;
   return report;
 }
 
@@ -171,11 +175,18 @@
   return most;
 }
 
-message::CrashReport recordProgress(Quarantine &quarantine, std::uint64_t contentHash,
-                                    std::uint32_t events, const Now &now) {
-  mergeAnswer(quarantine, contentHash, now.Steady + QuarantineTime, events);
-  return {contentHash, {},   std::chrono::duration_cast<std::chrono::milliseconds>(QuarantineTime),
-          false,       true, events};
+std::optional<message::CrashReport> recordProgress(Quarantine &quarantine,
+                                                   std::uint64_t contentHash, std::uint32_t events,
+                                                   const Now &now) {
+  if (!mergeAnswer(quarantine, contentHash, now.Steady + QuarantineTime, events) ||
+      !quarantine.Crashes.at(contentHash).IsShared)
+    return std::nullopt;
+  message::CrashReport report;
+  report.ContentHash = contentHash;
+  report.Lifetime = std::chrono::duration_cast<std::chrono::milliseconds>(QuarantineTime);
+  report.Answered = true;
+  report.Events = events;
+  return report;
 }
 
 bool mergeCrashReport(Quarantine &quarantine, const message::CrashReport &report, const Now &now) {
@@ -202,6 +213,7 @@
     known.Events = std::max(known.Events, report.Events);
   }
   crashes.CrashedAlone |= report.Alone;
+  crashes.IsShared = true;
   dropAnswered(crashes);
   evictOldestBackends(crashes.Backends);
   const bool isNew =
--- a/packages/retry/Quarantine.h
+++ b/packages/retry/Quarantine.h
@@ -71,6 +71,8 @@
   /// events that one had. Crashes with as many events or more still count.
   std::optional<TimePoint> PassedUntil;
   std::uint32_t PassedEvents = 0;
+  /// Peers know of a crash, and have to be told of what refutes it.
+  bool IsShared = false;
 
   bool operator==(const ContentCrashes &) const = default;
 };
@@ -115,19 +117,21 @@
                                  const std::string &backend, bool alone, const Now &now);
 
 /// The same for an answer that broke off after `events` events. The request was sent to the back
-/// end at `sent`.
+/// end at `sent`. `isShared` tells whether the peers get the report.
 message::CrashReport recordBrokenAnswer(Quarantine &quarantine, std::uint64_t contentHash,
                                         const std::string &backend, TimePoint sent,
-                                        std::uint32_t events, const Now &now);
+                                        std::uint32_t events, bool isShared, const Now &now);
 
 /// Returns the most events after which an answer to the content broke off; empty if none did.
 std::optional<std::uint32_t> mostEventsOfCrash(const Quarantine &quarantine,
                                                std::uint64_t contentHash, const Now &now);
 
 /// Records that an answer to the content has gone on after `events` events, which ends the
-/// suspicion from crashes that were earlier in the answer. Returns the report for the peers.
-message::CrashReport recordProgress(Quarantine &quarantine, std::uint64_t contentHash,
-                                    std::uint32_t events, const Now &now);
+/// suspicion from crashes that were earlier in the answer. Returns the report for the peers; empty
+/// if they know of no crash.
+std::optional<message::CrashReport> recordProgress(Quarantine &quarantine,
+                                                   std::uint64_t contentHash, std::uint32_t events,
+                                                   const Now &now);
 
 /// Merges the report of a peer. Returns true if it contained something new and should be forwarded.
 /// Merging is commutative and idempotent, but for reports with Concurrent: of the crashes of one
--- a/packages/retry/QuarantineTest.cpp
+++ b/packages/retry/QuarantineTest.cpp
@@ -130,20 +130,27 @@
 BOOST_AUTO_TEST_CASE(ProgressEndsTheSuspicionOfEarlierPoints) {
   Quarantine q;
   Quarantine peer;
-  const auto first = recordBrokenAnswer(q, 7, "e1", at(0s).Steady, 3, at(1s));
+  const auto first = recordBrokenAnswer(q, 7, "e1", at(0s).Steady, 3, true, at(1s));
   mergeCrashReport(peer, first, at(1s));
-  mergeCrashReport(peer, recordBrokenAnswer(q, 7, "e2", at(2s).Steady, 9, at(3s)), at(3s));
+  mergeCrashReport(peer, recordBrokenAnswer(q, 7, "e2", at(2s).Steady, 9, true, at(3s)), at(3s));
   BOOST_TEST((mostEventsOfCrash(q, 7, at(3s)) == 9U));
   const auto report = recordProgress(q, 7, 9, at(4s));
+  BOOST_REQUIRE(report.has_value());
   BOOST_TEST(crashCount(q, 7, at(4s)) == 1U);
-  BOOST_TEST(mergeCrashReport(peer, report, at(4s)));
+  BOOST_TEST(mergeCrashReport(peer, *report, at(4s)));
   BOOST_TEST(!mergeCrashReport(peer, first, at(1s)));
   BOOST_TEST(crashCount(peer, 7, at(4s)) == 1U);
   recordProgress(q, 7, 10, at(5s));
   BOOST_TEST(crashCount(q, 7, at(5s)) == 0U);
   BOOST_TEST(!mostEventsOfCrash(q, 7, at(5s)).has_value());
+  // Peers that know of no crash aren't told of what refutes it.
+  recordBrokenAnswer(q, 8, "e1", at(0s).Steady, 3, false, at(1s));
+  BOOST_TEST(!recordProgress(q, 8, 9, at(2s)).has_value());
+  recordBrokenAnswer(q, 8, "e1", at(2s).Steady, 3, false, at(3s));
+  BOOST_TEST(!recordAnswer(q, 8, at(4s).Steady, at(5s)).has_value());
+  BOOST_TEST(crashCount(q, 8, at(5s)) == 0U);
   // A later crash counts again.
-  recordBrokenAnswer(q, 7, "e3", at(5s).Steady, 3, at(6s));
+  recordBrokenAnswer(q, 7, "e3", at(5s).Steady, 3, true, at(6s));
   BOOST_TEST(crashCount(q, 7, at(6s)) == 1U);
 }
 
@@ -154,14 +161,14 @@
   for (int i = 0; i < 4; ++i) {
     const std::string name = "e" + std::to_string(i);
     const Now time = at(1s + i * 10ms);
-    mergeCrashReport(peer, recordBrokenAnswer(q, 7, name, at(500ms).Steady, 0, time), time);
+    mergeCrashReport(peer, recordBrokenAnswer(q, 7, name, at(500ms).Steady, 0, true, time), time);
   }
   BOOST_TEST(crashCount(q, 7, at(2s)) == 1U);
   BOOST_TEST(crashCount(peer, 7, at(2s)) == 1U);
   // Sent after a crash under the same content, and crashed at once.
-  recordBrokenAnswer(q, 7, "e5", at(1031ms).Steady, 0, at(1035ms));
+  recordBrokenAnswer(q, 7, "e5", at(1031ms).Steady, 0, true, at(1035ms));
   BOOST_TEST(crashCount(q, 7, at(2s)) == 2U);
-  recordBrokenAnswer(q, 7, "e6", at(1s).Steady, 0, at(1500ms));
+  recordBrokenAnswer(q, 7, "e6", at(1s).Steady, 0, true, at(1500ms));
   BOOST_TEST(crashCount(q, 7, at(2s)) == 3U);
 }
 
